--- /dev/null
+++ b/sableford/__init__.py
@@ -0,0 +1,1 @@
+"""sableford: pushes txns to workers on aged copies of their queue figures."""
--- /dev/null
+++ b/sableford/logic.py
@@ -0,0 +1,678 @@
+"""Every decision of one scheduler: which worker takes a txn, when it is posted again, declined or reversed.
+
+Called as `Scheduler(terms, seed).handle(now, event)`, which returns the effects in the order they are to act;
+the clock is whatever the caller says, in milliseconds. The interface stands in `sableford/model/`.
+"""
+
+from collections import deque
+from enum import IntEnum, auto
+from math import exp
+from zlib import crc32
+
+from sableford.model import (
+    CallOff,
+    Decline,
+    Effect,
+    Ended,
+    Ending,
+    Event,
+    Lapsed,
+    Listed,
+    Post,
+    Probe,
+    Progressed,
+    Repeats,
+    Reverse,
+    Roster,
+    Sampled,
+    Scheme,
+    Scope,
+    Standing,
+    Started,
+    Taken,
+    Terms,
+    Wake,
+    Woken,
+)
+from sableford.model.events import NEVER_RAN
+
+# The mechanism
+IMBALANCE = 1.5  # jobs, D: a slot is lost or a wait begun when two workers differ by more than about this
+UNCERTAINTY = 1.0  # jobs, each D_j: what others send between two reports of one worker
+AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
+DRIFT = 2000.0  # ms: an aged copy of the others' jobs is half the fleet's mean by then: two runs of a txn
+LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
+LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
+HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
+CROSSING_STEP = 0.25  # jobs added to a worker in another zone where crossing has a price
+UNHEARD_SLOTS = 2.0  # slots of a kind not yet heard of: the least a worker is built with
+SLACK_SLOTS = 0.5  # slots a noisy figure may be off before a worker counts as full
+
+# Running times and health
+RUN_PRIOR = 0.125  # of the expiry: a txn's run before any was seen; clients wait many runs long
+RUN_WEIGHT = 3.0  # txns that the prior counts for
+RUN_MEMORY = 30_000.0  # ms: decay of the fleet's mean runs
+PACE_MEMORY = 8000.0  # ms: decay of one worker's pace; long enough for some ten finishes
+PACE_WEIGHT = 4.0  # txns that the kind's pace counts for in a worker's
+PACE_FLOOR = 0.05  # least pace: keeps the load index finite
+SLOW = 0.5  # of the fleet's pace: below it a txn started at once is late all the same
+FAULT_MEMORY = 10_000.0  # ms: decay of errors and of finishes beside them
+FAULT_WEIGHT = 3.0  # finishes taken for granted, so that one error alone is not a tenth
+FAULTY = 0.15  # of finishes: far over what healthy workers return, under the mildest fault worth leaving for
+SHUN = 500.0  # ms without postings after a failed connection; doubled at each further one
+SHUN_MOST = 4000.0  # ms: a worker that came back is found within this
+FULL_REST = 150.0  # ms without postings after a worker turned one away
+
+# Waiting and moving
+PATROL = 100.0  # ms between looks at what is held and out
+START_WAIT = 200.0  # ms: a start is told within a round trip; an older unstarted posting waits in line there
+STILL = 1.5  # progress gaps without news before a running posting counts as standing still
+STILL_SLACK = 300.0  # ms on top, for pauses and the way
+TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
+FLOW_MEMORY = 4000.0  # ms: decay of the count of postings, by which the wait ahead is told
+FLOW_LEAST = 8.0  # postings in the sum before it is believed
+LAST_CALL = 50.0  # ms before expiry: nothing is posted or held past this
+
+# The cold rule
+COLD_MARGIN = 0.7  # of the own share: slots may outnumber cores, runs differ from their mean
+
+
+class State(IntEnum):
+    HELD = auto()
+    OUT = auto()
+    OVER = auto()
+
+
+class Input(IntEnum):
+    ROOM = auto()
+    LATE = auto()
+    STALLED = auto()
+    NEVER_RAN = auto()
+    MAY_HAVE_RUN = auto()
+    SETTLED = auto()
+    LAPSED = auto()
+
+
+class Again(IntEnum):
+    ANYWHERE = auto()
+    IN_GROUP = auto()
+    NOWHERE = auto()
+
+
+# (scheme's repeats, may an earlier posting have run) -> where it may go again, may it be declined
+PERMITS = {
+    (Repeats.REPEATABLE, False): (Again.ANYWHERE, True),
+    (Repeats.REPEATABLE, True): (Again.ANYWHERE, True),
+    (Repeats.REFERENCED, False): (Again.ANYWHERE, True),
+    (Repeats.REFERENCED, True): (Again.IN_GROUP, False),
+    (Repeats.ONCE_ONLY, False): (Again.ANYWHERE, True),
+    (Repeats.ONCE_ONLY, True): (Again.NOWHERE, False),
+}
+
+
+class Worker:
+    """One listed worker: its copy, its own postings, what was measured of it."""
+
+    def __init__(self, index: int, line: Listed, kind: "Kind") -> None:
+        self.index = index
+        self.zone, self.cell, self.kind = line.zone, line.cell, kind
+        self.ready, self.since = line.standing is Standing.READY, line.since
+        self.postings: dict[tuple[int, int], Posting] = {}
+        self.own = 0.0
+        self.past: deque[tuple[float, float]] = deque()
+        self.running = [0] * len(kind.runs)
+        self.pushed: deque[tuple[float, float]] = deque()
+        self.forget()
+
+    def forget(self) -> None:
+        """A fresh process: nothing measured of the old one holds."""
+        self.figures: tuple[float, ...] = ()
+        self.reported = -1.0
+        self.others, self.true_at = -1.0, 0.0
+        self.done, self.due, self.pace, self.touched = 0.0, 0.0, 1.0, 0.0
+        self.faults, self.sound, self.judged = 0.0, 0.0, 0.0
+        self.waits = self.still = False
+        self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
+
+    def own_at(self, when: float) -> float:
+        """Slots of own postings out at that time."""
+        count = 0.0
+        for at, own in reversed(self.past):
+            if at <= when:
+                return own
+            count = own
+        return 0.0 if self.past else count
+
+
+class Kind:
+    """Workers built alike: their slots, and their pace against the fleet."""
+
+    def __init__(self, runs: list["Run"]) -> None:
+        self.slots = 0.0
+        self.runs = runs
+        self.done, self.due, self.touched = 0.0, 0.0, 0.0
+
+    def pace(self) -> float:
+        return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
+
+
+class Run:
+    """The mean run of one scheme's txns over the fleet: running time spent for each finish."""
+
+    def __init__(self, scheme: Scheme) -> None:
+        self.prior = scheme.expiry * RUN_PRIOR
+        self.spent, self.done, self.touched = 0.0, 0.0, 0.0
+
+    def mean(self) -> float:
+        return (self.spent + RUN_WEIGHT * self.prior) / (self.done + RUN_WEIGHT)
+
+
+class Posting:
+    __slots__ = ("called_off", "need", "news", "scheme", "sent", "started", "worker")
+
+    def __init__(self, worker: Worker, scheme: int, need: float, now: float) -> None:
+        self.worker, self.scheme, self.need = worker, scheme, need
+        self.sent, self.news = now, now
+        self.started = self.called_off = False
+
+
+class Txn:
+    __slots__ = ("avoid", "limit", "origin", "out", "over", "posted", "state", "taken", "taken_at")
+
+    def __init__(self, taken: Taken, now: float, limit: float, over: bool) -> None:
+        self.taken, self.taken_at, self.limit, self.over = taken, now, limit, over
+        self.state = State.HELD
+        self.posted = 0
+        self.out: dict[int, Posting] = {}
+        self.origin: Posting | None = None  # the first posting that may have run
+        self.avoid: Worker | None = None
+
+
+class Scheduler:
+    def __init__(self, terms: Terms, seed: int) -> None:
+        self.terms, self.seed, self.draws = terms, seed, 0
+        self.effects: list[Effect] = []
+        self.txns: dict[int, Txn] = {}
+        self.workers: dict[int, Worker] = {}
+        self.ring: list[Worker] = []
+        self.turn = -1
+        self.kinds: dict[int, Kind] = {}
+        self.runs = [Run(scheme) for scheme in terms.schemes]
+        self.lanes = [[deque() for _ in terms.schemes] for _ in range(2)]
+        self.held = 0
+        self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
+        self.flow, self.flow_at = 0.0, 0.0
+        self.tokens = [account.allowance / terms.schedulers for account in terms.accounts]
+        self.token_at = [0.0] * len(terms.accounts)
+        self.patrolling = False
+        self.handlers = {
+            Taken: self._taken,
+            Started: self._started,
+            Progressed: self._progressed,
+            Ended: self._ended,
+            Lapsed: self._lapsed,
+            Woken: self._patrol,
+            Sampled: self._sampled,
+            Roster: self._roster,
+        }
+
+    def handle(self, now: float, event: Event) -> list[Effect]:
+        self.effects = []
+        self.handlers[type(event)](now, event)
+        if not self.patrolling and (self.held or any(worker.postings for worker in self.ring)):
+            self.patrolling = True
+            self.effects.append(Wake(PATROL))
+        return self.effects
+
+    def _chance(self, ends: int) -> int:
+        self.draws += 1
+        return crc32(b"%d:%d" % (self.seed, self.draws)) % ends
+
+    # The txn's life: a table read by a short loop
+
+    def _step(self, now: float, index: int, happened: Input | None) -> None:
+        txn = self.txns[index]
+        while happened is not None and (txn.state, happened) in LIFE:
+            txn.state, act = LIFE[txn.state, happened]
+            happened = act(self, now, index, txn)
+        if txn.state is State.OVER and not txn.out:
+            self.txns.pop(index, None)
+
+    def _drop(self, now: float, index: int, txn: Txn) -> None:
+        return None
+
+    def _answer(self, now: float, index: int, txn: Txn) -> None:
+        """Given up: the answer goes out at once."""
+        scheme = self.terms.schemes[txn.taken.scheme]
+        _, harmless = PERMITS[scheme.repeats, txn.origin is not None]
+        if harmless or (scheme.repeats is Repeats.REFERENCED and scheme.scope is Scope.ALL):
+            pause = min(self.terms.tariff.pause, self._wait_ahead(now)) if self.terms.tariff.pause else 0.0
+            self.effects.append(Decline(index, pause))
+        else:
+            self.effects.append(Reverse(index))
+
+    def _again(self, now: float, index: int, txn: Txn) -> Input | None:
+        """A posting came back without an answer: hold it for another, or give it up."""
+        where, _ = PERMITS[self.terms.schemes[txn.taken.scheme].repeats, txn.origin is not None]
+        if where is Again.NOWHERE or now >= txn.limit or txn.posted >= self.terms.tariff.postings:
+            return Input.LATE
+        self._hold(index, txn, first=True)
+        return None
+
+    def _call_off(self, now: float, index: int, txn: Txn) -> None:
+        for number, posting in txn.out.items():
+            if not posting.called_off:
+                posting.called_off = True
+                txn.avoid = posting.worker
+                self.effects.append(CallOff(index, number))
+
+    # Txns coming in, waiting and going out
+
+    def _taken(self, now: float, event: Taken) -> None:
+        scheme = self.terms.schemes[event.scheme]
+        typical = TYPICAL * self.runs[event.scheme].mean()
+        patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
+        limit = min(now + patience, event.expiry - LAST_CALL)
+        txn = self.txns[event.txn] = Txn(event, now, limit, self._beyond_share(now, event.account))
+        if self.held and now + self._wait_ahead(now) > limit:
+            self._step(now, event.txn, Input.LATE)
+            return
+        self._hold(event.txn, txn, first=False)
+        self._pump(now)
+
+    def _beyond_share(self, now: float, account: int) -> bool:
+        """Whether the tenant sends more than this scheduler's part of its allowance."""
+        if account >= len(self.tokens) or not self.terms.accounts[account].allowance:
+            return False
+        rate = self.terms.accounts[account].allowance / self.terms.schedulers
+        spare = min(2.0 + rate, self.tokens[account] + (now - self.token_at[account]) * rate / 1000.0)
+        self.token_at[account] = now
+        beyond = spare < 1.0
+        self.tokens[account] = spare if beyond else spare - 1.0
+        return beyond
+
+    def _wait_ahead(self, now: float) -> float:
+        """How long what is held now takes to go out, by the recent flow of postings."""
+        flow = self.flow * exp((self.flow_at - now) / FLOW_MEMORY)
+        return self.held * FLOW_MEMORY / flow if flow >= FLOW_LEAST else 0.0
+
+    def _hold(self, index: int, txn: Txn, first: bool) -> None:
+        lane = self.lanes[txn.over][txn.taken.scheme]
+        (lane.appendleft if first else lane.append)(index)
+        self.held += 1
+
+    def _pump(self, now: float) -> None:
+        """Post what is held while workers have room: within the share first, then by the nearest limit."""
+        if not self.held:
+            return
+        blocked = set()
+        while True:
+            best, key = None, None
+            for over, lanes in enumerate(self.lanes):
+                for scheme, lane in enumerate(lanes):
+                    while lane and self._gone(lane[0], scheme):
+                        lane.popleft()
+                    if lane and (over, scheme) not in blocked:
+                        rank = (over, self.txns[lane[0]].limit)
+                        if key is None or rank < key:
+                            best, key = (over, scheme), rank
+            if best is None:
+                return
+            lane = self.lanes[best[0]][best[1]]
+            index = lane[0]
+            txn = self.txns[index]
+            worker = None
+            if now <= txn.limit:
+                worker = self._choose(now, txn)
+                if worker is None:
+                    blocked.add(best)
+                    continue
+            lane.popleft()
+            self.held -= 1
+            if worker is None:
+                self._step(now, index, Input.LATE)
+            else:
+                self.chosen = worker
+                self._step(now, index, Input.ROOM)
+
+    def _gone(self, index: int, scheme: int) -> bool:
+        """An entry whose txn lapsed while held."""
+        txn = self.txns.get(index)
+        return txn is None or txn.state is not State.HELD or txn.taken.scheme != scheme
+
+    def _post(self, now: float, index: int, txn: Txn) -> None:
+        worker, need = self.chosen, self._need(txn)
+        posting = Posting(worker, txn.taken.scheme, need, now)
+        worker.postings[index, txn.posted] = txn.out[txn.posted] = posting
+        txn.posted += 1
+        if txn.origin is None:
+            txn.origin = posting
+        self._count(worker, need, now)
+        if self._cold(worker, now):
+            worker.pushed.append((now, self._cost(worker, txn)))
+        self.flow = self.flow * exp((self.flow_at - now) / FLOW_MEMORY) + 1.0
+        self.flow_at = now
+        self.effects.append(Post(index, worker.index, txn.taken.expiry))
+
+    def _need(self, txn: Txn) -> float:
+        return max(1.0, txn.taken.slots, txn.taken.memory if self.terms.free_memory >= 0 else 0.0)
+
+    def _count(self, worker: Worker, slots: float, now: float) -> None:
+        worker.own = max(0.0, worker.own + slots)
+        worker.past.append((now, worker.own))
+        while len(worker.past) > 1 and worker.past[1][0] < now - HISTORY:
+            worker.past.popleft()
+
+    # The mechanism: aged copies, the local bound, the rotation
+
+    def _estimate(self, worker: Worker, now: float, mean: float) -> float:
+        """Slots in flight: own ones, and the others' by the copy, which drifts to the mean with age."""
+        if worker.others < 0.0:
+            return worker.own + mean
+        trust = DRIFT / (DRIFT + now - worker.true_at)
+        return worker.own + mean + (worker.others - mean) * trust
+
+    def _choose(self, now: float, txn: Txn) -> Worker | None:
+        """The worker that takes the txn now, or none with room for it."""
+        need = self._need(txn)
+        heard = [worker.others for worker in self.ring if worker.others >= 0.0]
+        mean = sum(heard) / len(heard) if heard else 0.0
+        sizes = [max(worker.kind.slots, UNHEARD_SLOTS) * worker.pace for worker in self.ring]
+        size = sum(sizes) / len(sizes) if sizes else 1.0
+        fit = [worker for worker in self.ring if self._allowed(worker, now, txn)]
+        sound = [worker for worker in fit if self._sound(worker, txn)]
+        crossing = CROSSING_STEP if self.terms.tariff.crossing else 0.0
+        indices: list[tuple[float, Worker]] = []
+        for worker in sound or fit:
+            jobs = self._estimate(worker, now, mean)
+            slots = max(worker.kind.slots, UNHEARD_SLOTS)
+            if worker.waits or (jobs + need > slots + SLACK_SLOTS and jobs > SLACK_SLOTS):
+                continue
+            index = (jobs + need) * size / (slots * worker.pace) - need
+            indices.append((index + (crossing if worker.zone != self.terms.zone else 0.0), worker))
+        if not indices:
+            return None
+        lowest = min(index for index, _ in indices)
+        if self.turn < 0:
+            self.turn = self._chance(len(self.ring))
+        self.turn += 1
+        index, worker = indices[self.turn % len(indices)]
+        bound = IMBALANCE - UNCERTAINTY
+        self._refresh(now, indices, index - bound)
+        if index - lowest <= bound:
+            return worker
+        least = [worker for index, worker in indices if index - lowest < 1e-9]
+        return least[self._chance(len(least))]
+
+    def _refresh(self, now: float, indices: list[tuple[float, Worker]], below: float) -> None:
+        """Probe the copies that break the bound, where that is allowed."""
+        if not self.terms.tariff.probes:
+            return
+        for index, worker in indices:
+            aged = now - worker.true_at > AGE_LIMIT + self.lag
+            if (index < below or aged) and now - worker.probed >= AGE_LIMIT:
+                worker.probed = now
+                self.effects.append(Probe(worker.index))
+
+    def _allowed(self, worker: Worker, now: float, txn: Txn) -> bool:
+        """What the rules and the wire forbid, whatever else is at hand."""
+        scheme = self.terms.schemes[txn.taken.scheme]
+        if not worker.ready or now < worker.rest_until:
+            return False
+        if txn.origin is not None and scheme.repeats is Repeats.REFERENCED:
+            first = txn.origin
+            if now - first.sent > scheme.span - LAST_CALL:
+                return False
+            if scheme.scope is Scope.ZONE and worker.zone != first.worker.zone:
+                return False
+            if scheme.scope is Scope.CELL and worker.cell != first.worker.cell:
+                return False
+        return not self._cold(worker, now) or self._budget(worker, now, txn)
+
+    def _sound(self, worker: Worker, txn: Txn) -> bool:
+        """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
+        if worker.still or worker is txn.avoid or worker.pace < SLOW:
+            return False
+        if worker.faults > FAULTY * (worker.faults + worker.sound + FAULT_WEIGHT):
+            scheme = self.terms.schemes[txn.taken.scheme]
+            return scheme.repeats is not Repeats.ONCE_ONLY and not worker.postings and txn.posted == 0
+        return True
+
+    # The cold rule
+
+    def _cold(self, worker: Worker, now: float) -> bool:
+        span = self.terms.duties.warm_within + self.terms.duties.push_span
+        return worker.since > 0.0 and now - worker.since < span
+
+    def _cost(self, worker: Worker, txn: Txn) -> float:
+        return self.runs[txn.taken.scheme].mean() / worker.kind.pace() * max(1.0, txn.taken.slots)
+
+    def _budget(self, worker: Worker, now: float, txn: Txn) -> bool:
+        """Whether the own share of what a cold worker bears in any one span still holds this txn."""
+        duties = self.terms.duties
+        while worker.pushed and worker.pushed[0][0] < now - duties.push_span:
+            worker.pushed.popleft()
+        age = max(0.0, now - worker.since - duties.push_span)
+        bears = min(1.0, duties.cold_share + (1.0 - duties.cold_share) * age / duties.warm_within)
+        slots = max(worker.kind.slots, UNHEARD_SLOTS)
+        share = COLD_MARGIN * duties.push_factor * bears * slots * duties.push_span / self.terms.schedulers
+        return sum(cost for _, cost in worker.pushed) + self._cost(worker, txn) <= share
+
+    # News of postings
+
+    def _started(self, now: float, event: Started) -> None:
+        posting = self._posting(event.txn, event.posting)
+        if posting is None:
+            return
+        worker = posting.worker
+        self._measure(worker, now)
+        if not posting.started:
+            posting.started = True
+            worker.running[posting.scheme] += 1
+        posting.news = now
+        worker.still = False
+        busy = sum(other.need for other in worker.postings.values() if other.started)
+        worker.kind.slots = max(worker.kind.slots, float(int(busy)))
+        self._look(worker, now)
+
+    def _progressed(self, now: float, event: Progressed) -> None:
+        posting = self._posting(event.txn, event.posting)
+        if posting is not None:
+            posting.news = now
+            posting.worker.still = False
+
+    def _posting(self, index: int, number: int) -> Posting | None:
+        txn = self.txns.get(index)
+        return txn.out.get(number) if txn else None
+
+    def _ended(self, now: float, event: Ended) -> None:
+        txn = self.txns.get(event.txn)
+        posting = txn.out.pop(event.posting, None) if txn else None
+        if txn is None or posting is None:
+            return
+        worker = posting.worker
+        worker.postings.pop((event.txn, event.posting), None)
+        self._measure(worker, now)
+        self._judge(worker, posting, event.ending, now)
+        self._count(worker, -posting.need, now)
+        if event.load:
+            self._report(worker, event.load, now)
+        self._look(worker, now)
+        never = event.ending in NEVER_RAN
+        if never and txn.origin is posting:
+            txn.origin = None
+        if event.closed:
+            happened = Input.SETTLED
+        elif never:
+            happened = Input.NEVER_RAN
+        else:
+            happened = Input.MAY_HAVE_RUN
+        if event.ending is not Ending.SETTLED:
+            txn.avoid = worker
+        self._step(now, event.txn, happened)
+        self._pump(now)
+
+    def _judge(self, worker: Worker, posting: Posting, ending: Ending, now: float) -> None:
+        """What an ending says of the worker's pace and health."""
+        fade = exp((worker.judged - now) / FAULT_MEMORY)
+        worker.faults, worker.sound, worker.judged = worker.faults * fade, worker.sound * fade, now
+        if posting.started:
+            worker.running[posting.scheme] -= 1
+        if ending is Ending.SETTLED:
+            worker.still, worker.misses = False, 0
+            worker.sound += 1.0
+            if posting.started:
+                worker.done += 1.0
+                worker.kind.done += 1.0
+                self.runs[posting.scheme].done += 1.0
+        elif ending is Ending.ERROR or ending is Ending.BROKEN:
+            worker.faults += 1.0
+        elif ending is Ending.NO_CONNECTION:
+            worker.rest_until = now + min(SHUN_MOST, SHUN * 2.0**worker.misses)
+            worker.misses = min(worker.misses + 1, 8)
+        elif ending is Ending.FULL:
+            worker.rest_until = now + FULL_REST
+
+    def _measure(self, worker: Worker, now: float) -> None:
+        """Bring the worker's, its kind's and the schemes' sums up to date."""
+        spell = now - worker.touched
+        fade = exp(-spell / PACE_MEMORY)
+        kind = worker.kind
+        drop = exp((kind.touched - now) / RUN_MEMORY)
+        kind.done, kind.due, kind.touched = kind.done * drop, kind.due * drop, now
+        due = 0.0
+        for scheme, count in enumerate(worker.running):
+            run = self.runs[scheme]
+            drop = exp((run.touched - now) / RUN_MEMORY)
+            run.spent, run.done, run.touched = run.spent * drop, run.done * drop, now
+            if count:
+                run.spent += spell * count
+                due += spell * count / run.mean()
+        kind.due += due
+        worker.done, worker.due, worker.touched = worker.done * fade, worker.due * fade + due, now
+        pace = (worker.done + PACE_WEIGHT * kind.pace()) / (worker.due + PACE_WEIGHT)
+        worker.pace = max(PACE_FLOOR, pace)
+
+    def _report(self, worker: Worker, load: tuple[float, ...], now: float) -> None:
+        """Renew the copy. The same figures again are the same report, and its copy goes on ageing."""
+        if load == worker.figures:
+            return
+        worker.figures = load
+        terms, kind = self.terms, worker.kind
+        if terms.free_slots >= 0:
+            kind.slots = max(kind.slots, float(round(load[terms.free_slots])))
+        if terms.handled >= 0:
+            jobs = load[terms.handled]
+        elif terms.free_slots >= 0:
+            jobs = kind.slots - load[terms.free_slots]
+            jobs += load[terms.waiting] if terms.waiting >= 0 else 0.0
+        else:
+            return
+        self._learn_lag(worker, jobs, now)
+        worker.reported, worker.true_at = jobs, now - self.lag
+        worker.others = max(0.0, jobs - worker.own_at(worker.true_at))
+
+    def _learn_lag(self, worker: Worker, jobs: float, now: float) -> None:
+        """How late reports are: the lag at which own sends explain most of the change between two of them."""
+        since, before = worker.true_at + self.lag, worker.reported
+        if before < 0.0 or now - since > AGE_LIMIT * 3.0:
+            return
+        fade = exp((self.misfit_at - now) / LAG_MEMORY)
+        self.misfit_at = now
+        for at, lag in enumerate(LAGS):
+            moved = worker.own_at(now - lag) - worker.own_at(since - lag)
+            self.misfit[at] = self.misfit[at] * fade + (jobs - before - moved) ** 2
+        self.lag = LAGS[min(range(len(LAGS)), key=self.misfit.__getitem__)]
+
+    def _sampled(self, now: float, event: Sampled) -> None:
+        worker = self.workers.get(event.worker)
+        if worker is None:
+            return
+        if event.answered and event.load:
+            self._report(worker, event.load, now)
+        self._pump(now)
+
+    def _lapsed(self, now: float, event: Lapsed) -> None:
+        txn = self.txns.get(event.txn)
+        if txn is None:
+            return
+        if txn.state is State.HELD:
+            self.lanes[txn.over][txn.taken.scheme].remove(event.txn)
+            self.held -= 1
+        self._step(now, event.txn, Input.LAPSED)
+
+    # Looking after what is out
+
+    def _look(self, worker: Worker, now: float) -> None:
+        """An own posting that has not begun within a round trip waits in line: that worker has no room."""
+        worker.waits = self.terms.tells_start and any(
+            not posting.started and now - posting.sent > START_WAIT for posting in worker.postings.values()
+        )
+
+    def _patrol(self, now: float, event: Woken) -> None:
+        self.patrolling = False
+        patience = self.terms.progress * STILL + STILL_SLACK
+        for worker in self.workers.values():
+            self._measure(worker, now)
+            self._look(worker, now)
+            if not worker.postings:
+                worker.still = False
+            for posting in worker.postings.values():
+                if posting.started and self.terms.progress and now - posting.news > patience:
+                    worker.still = True
+        if self.terms.tariff.call_off:
+            for worker in self.ring:
+                if worker.waits or worker.still:
+                    self._move(worker, now)
+        self._pump(now)
+
+    def _move(self, worker: Worker, now: float) -> None:
+        """Call off what stands in line or still there, where it may go again and another has room now."""
+        for (index, _), posting in list(worker.postings.items()):
+            txn = self.txns[index]
+            scheme = self.terms.schemes[txn.taken.scheme]
+            idle = worker.still if posting.started else now - posting.sent > START_WAIT
+            if (
+                not idle
+                or posting.called_off
+                or txn.state is not State.OUT
+                or scheme.repeats is Repeats.ONCE_ONLY
+                or txn.posted >= self.terms.tariff.postings
+                or now >= txn.limit
+            ):
+                continue
+            before, txn.avoid = txn.avoid, worker
+            other = self._choose(now, txn)
+            txn.avoid = before
+            if other is not None and other is not worker:
+                self._step(now, index, Input.STALLED)
+
+    # The roster
+
+    def _roster(self, now: float, event: Roster) -> None:
+        for line in event.lines:
+            worker = self.workers.get(line.worker)
+            kind = self.kinds.get(line.kind)
+            if kind is None:
+                kind = self.kinds[line.kind] = Kind(self.runs)
+            if worker is None:
+                worker = self.workers[line.worker] = Worker(line.worker, line, kind)
+                worker.touched = now
+            elif line.since != worker.since:
+                worker.forget()
+                worker.touched = now
+            worker.ready, worker.since = line.standing is Standing.READY, line.since
+        self.ring = [self.workers[index] for index in sorted(self.workers)]
+        self._pump(now)
+
+
+LIFE = {
+    (State.HELD, Input.ROOM): (State.OUT, Scheduler._post),
+    (State.HELD, Input.LATE): (State.OVER, Scheduler._answer),
+    (State.HELD, Input.LAPSED): (State.OVER, Scheduler._drop),
+    (State.OUT, Input.STALLED): (State.OUT, Scheduler._call_off),
+    (State.OUT, Input.NEVER_RAN): (State.HELD, Scheduler._again),
+    (State.OUT, Input.MAY_HAVE_RUN): (State.HELD, Scheduler._again),
+    (State.OUT, Input.SETTLED): (State.OVER, Scheduler._drop),
+    (State.OUT, Input.LAPSED): (State.OVER, Scheduler._drop),
+}
--- /dev/null
+++ b/sableford/model/events.py
@@ -0,0 +1,103 @@
+"""What the core is told. Times are milliseconds; txns and workers are small indices given at the door."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Ending(IntEnum):
+    """How a posting finished."""
+
+    SETTLED = 0
+    ERROR = 1
+    FULL = 2
+    TIMED_OUT = 3
+    NO_CONNECTION = 4
+    BROKEN = 5
+    CALLED_OFF = 6
+    NOT_SENT = 7
+
+
+NEVER_RAN = frozenset({Ending.FULL, Ending.NO_CONNECTION, Ending.NOT_SENT})
+
+
+class Standing(IntEnum):
+    """What the roster says of a worker."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class Taken(NamedTuple):
+    """A txn has come in; one final answer is owed from here on."""
+
+    txn: int
+    scheme: int
+    account: int
+    expiry: float
+    slots: float
+    memory: float
+
+
+class Started(NamedTuple):
+    """A posting has begun to run."""
+
+    txn: int
+    posting: int
+
+
+class Progressed(NamedTuple):
+    """A running posting moves; `share` of it is done."""
+
+    txn: int
+    posting: int
+    share: float
+
+
+class Ended(NamedTuple):
+    """A posting is over; `closed` when the txn has its final answer. `load` holds report figures or none."""
+
+    txn: int
+    posting: int
+    ending: Ending
+    closed: bool
+    load: tuple[float, ...]
+
+
+class Lapsed(NamedTuple):
+    """The client has left; nothing more is owed."""
+
+    txn: int
+
+
+class Woken(NamedTuple):
+    """A wake-up asked for has come."""
+
+
+class Sampled(NamedTuple):
+    """A probe is back."""
+
+    worker: int
+    answered: bool
+    load: tuple[float, ...]
+
+
+class Listed(NamedTuple):
+    """One worker's line in the roster; `since` is its last start, 0 for long ago."""
+
+    worker: int
+    zone: int
+    kind: int
+    cell: int
+    standing: Standing
+    rating: float
+    since: float
+
+
+class Roster(NamedTuple):
+    """Lines that are new or changed; a worker left out of a complete list comes as GONE."""
+
+    lines: tuple[Listed, ...]
+
+
+Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster
--- /dev/null
+++ b/sableford/model/terms.py
@@ -0,0 +1,78 @@
+"""What is read once at start, in trade terms."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Repeats(IntEnum):
+    """What a scheme allows once a posting may have run."""
+
+    REPEATABLE = 0
+    REFERENCED = 1
+    ONCE_ONLY = 2
+
+
+class Scope(IntEnum):
+    """Which workers drop a referenced txn's repeats."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Scheme(NamedTuple):
+    """One scheme: `sla` plus `stretch` times the own running time is the SLA time."""
+
+    repeats: Repeats
+    scope: Scope
+    span: float
+    sla: float
+    stretch: float
+    expiry: float
+    earnings: float
+    kind: int
+
+
+class Account(NamedTuple):
+    """A tenant and the txns a second it may send, over all schedulers."""
+
+    allowance: float
+
+
+class Duties(NamedTuple):
+    """The figures of the four rules."""
+
+    cold_share: float
+    warm_within: float
+    push_factor: float
+    push_span: float
+
+
+class Tariff(NamedTuple):
+    """What is allowed and what it costs."""
+
+    postings: int
+    copies: bool
+    call_off: bool
+    probes: bool
+    pause: float
+    overage: float
+    crossing: float
+
+
+class Terms(NamedTuple):
+    """Everything the core knows at start. The last five say which report figure stands where, -1 for none."""
+
+    schedulers: int
+    zone: int
+    schemes: tuple[Scheme, ...]
+    accounts: tuple[Account, ...]
+    duties: Duties
+    tariff: Tariff
+    tells_start: bool
+    progress: float
+    waiting: int
+    handled: int
+    free_slots: int
+    free_memory: int
+    errors: int
--- /dev/null
+++ b/sableford/simhost/startup.py
@@ -0,0 +1,129 @@
+"""The start-up text of an instance, decoded once into the core's Terms."""
+
+import msgspec
+
+from sableford.model import Account, Duties, Repeats, Scheme, Scope, Tariff, Terms
+
+_REPEATS = {"safe": Repeats.REPEATABLE, "keyed": Repeats.REFERENCED, "unsafe": Repeats.ONCE_ONLY}
+_SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
+
+
+class _Scheme(msgspec.Struct):
+    effect: str
+    sla_time_s: float
+    expiry_s: float
+    earnings: float = 1.0
+    dedup_scope: str = "cell"
+    memory_span_s: float = 0.0
+    aim_stretch: float | None = None
+
+
+class _Limits(msgspec.Struct):
+    most_postings: int
+    may_cancel: bool = False
+    probes: bool = False
+    retry_after: bool = False
+    second_copies: bool = False
+    max_retry_after_s: float = 0.0
+
+
+class _Obligations(msgspec.Struct):
+    overload_factor: float
+    fall_s: float
+    start_capacity: float
+    warm_within_s: float
+
+
+class _LoadInfo(msgspec.Struct):
+    columns: list[str] = []
+    via: str = "off"
+
+
+class _Tenant(msgspec.Struct):
+    allowance_per_s: float = 0.0
+
+
+class _Prices(msgspec.Struct):
+    cross_zone: float = 0.0
+
+
+class _Specifics(msgspec.Struct):
+    class_kind: list[int] = []
+    class_stretch: list[float] = []
+    progress_s: float = 0.0
+    report_x0: str = ""
+    report_x1: str = ""
+    tells_start: bool = False
+
+
+class _Profile(msgspec.Struct):
+    instances: int
+    schemes: list[_Scheme]
+    limits: _Limits
+    obligations: _Obligations
+    zone: int = 0
+    load_info: _LoadInfo = msgspec.field(default_factory=_LoadInfo)
+    specifics: _Specifics = msgspec.field(default_factory=_Specifics)
+    prices: _Prices = msgspec.field(default_factory=_Prices)
+    tenants: list[_Tenant] = []
+    overage_earnings: float = 1.0
+
+
+_decoder = msgspec.json.Decoder(_Profile)
+
+
+def _nth(values: list, at: int, default):
+    return values[at] if at < len(values) else default
+
+
+def _scheme(at: int, given: _Scheme, facts: _Specifics) -> Scheme:
+    if given.effect not in _REPEATS:
+        raise ValueError(f"schemes[{at}].effect: unknown word {given.effect!r}")
+    stretch = given.aim_stretch if given.aim_stretch is not None else _nth(facts.class_stretch, at, 0.0)
+    return Scheme(
+        repeats=_REPEATS[given.effect],
+        scope=_SCOPES.get(given.dedup_scope, Scope.CELL),
+        span=given.memory_span_s * 1000.0,
+        sla=given.sla_time_s * 1000.0,
+        stretch=stretch,
+        expiry=given.expiry_s * 1000.0,
+        earnings=given.earnings,
+        kind=_nth(facts.class_kind, at, -1),
+    )
+
+
+def read_terms(text: bytes) -> Terms:
+    """Decode the start-up text; what is missing or bad is named in the error."""
+    try:
+        profile = _decoder.decode(text)
+    except msgspec.MsgspecError as error:
+        raise ValueError(f"start-up settings: {error}") from error
+    columns = profile.load_info.columns if profile.load_info.via != "off" else []
+    facts, limits, owed = profile.specifics, profile.limits, profile.obligations
+    places = {name: at for at, name in enumerate(columns)}
+    meanings = {facts.report_x0: places.get("x0", -1), facts.report_x1: places.get("x1", -1)}
+    return Terms(
+        schedulers=max(1, profile.instances),
+        zone=profile.zone,
+        schemes=tuple(_scheme(at, given, facts) for at, given in enumerate(profile.schemes)),
+        accounts=tuple(Account(tenant.allowance_per_s) for tenant in profile.tenants),
+        duties=Duties(
+            owed.start_capacity, owed.warm_within_s * 1000.0, owed.overload_factor, owed.fall_s * 1000.0
+        ),
+        tariff=Tariff(
+            postings=limits.most_postings,
+            copies=limits.second_copies,
+            call_off=limits.may_cancel,
+            probes=limits.probes,
+            pause=limits.max_retry_after_s * 1000.0 if limits.retry_after else 0.0,
+            overage=profile.overage_earnings,
+            crossing=profile.prices.cross_zone,
+        ),
+        tells_start=facts.tells_start,
+        progress=facts.progress_s * 1000.0,
+        waiting=places.get("depth", -1),
+        handled=places.get("concurrent", -1),
+        free_slots=meanings.get("free slots", -1),
+        free_memory=meanings.get("free memory", -1),
+        errors=places.get("err_ps", -1),
+    )
