--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -40,7 +40,7 @@
 IMBALANCE = 1.5  # jobs, D: a slot is lost or a wait begun when two workers differ by more than about this
 UNCERTAINTY = 1.0  # jobs, each D_j: what others send between two reports of one worker
 AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
-DRIFT = 2000.0  # ms: an aged copy of the others' jobs is half the fleet's mean by then: two runs of a txn
+DRIFT = 1000.0  # ms: decay of what an aged copy still tells of the others' jobs; about the run of one txn
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
@@ -367,10 +367,12 @@
 
     def _estimate(self, worker: Worker, now: float, mean: float) -> float:
         """Slots in flight: own ones, and the others' by the copy, which drifts to the mean with age."""
+        # Others fill no more than the slots for long: without this a crowd seen once was taken for one that
+        # stays, no worker had room, and with nothing posted no report came to say otherwise.
+        usual = min(mean, max(worker.kind.slots, UNHEARD_SLOTS) - 1.0)
         if worker.others < 0.0:
-            return worker.own + mean
-        trust = DRIFT / (DRIFT + now - worker.true_at)
-        return worker.own + mean + (worker.others - mean) * trust
+            return worker.own + usual
+        return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / DRIFT)
 
     def _choose(self, now: float, txn: Txn) -> Worker | None:
         """The worker that takes the txn now, or none with room for it."""
