--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -70,7 +70,8 @@
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
 TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
 FLOW_MEMORY = 4000.0  # ms: decay of the count of postings, by which the wait ahead is told
-FLOW_LEAST = 8.0  # postings in the sum before it is believed
+FLOW_LEAST = 1.0  # postings in the sum at least: a lane that got none lately waits one memory for each held
+ADMITTED = 0.6  # of its patience a txn may have to wait by the flow, else it is turned away on arrival
 LAST_CALL = 50.0  # ms before expiry: nothing is posted or held past this
 
 # The cold rule
@@ -167,6 +168,15 @@
         return (self.spent + RUN_WEIGHT * self.prior) / (self.done + RUN_WEIGHT)
 
 
+class Lane:
+    """Held txns of one scheme, within their tenants' shares or beyond, and how many went out lately."""
+
+    def __init__(self, scheme: int, over: bool, run: Run) -> None:
+        self.scheme, self.over, self.run = scheme, over, run
+        self.queue: deque[int] = deque()
+        self.flow, self.flow_at = 0.0, 0.0
+
+
 class Posting:
     __slots__ = ("called_off", "need", "news", "scheme", "sent", "started", "worker")
 
@@ -198,10 +208,9 @@
         self.turn = -1
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
-        self.lanes = [[deque() for _ in terms.schemes] for _ in range(2)]
+        self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
         self.held = 0
         self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
-        self.flow, self.flow_at = 0.0, 0.0
         self.tokens = [account.allowance / terms.schedulers for account in terms.accounts]
         self.token_at = [0.0] * len(terms.accounts)
         self.patrolling = False
@@ -246,7 +255,7 @@
         scheme = self.terms.schemes[txn.taken.scheme]
         _, harmless = PERMITS[scheme.repeats, txn.origin is not None]
         if harmless or (scheme.repeats is Repeats.REFERENCED and scheme.scope is Scope.ALL):
-            pause = min(self.terms.tariff.pause, self._wait_ahead(now)) if self.terms.tariff.pause else 0.0
+            pause = min(self.terms.tariff.pause, self._wait_ahead(now, self._lane(txn)))
             self.effects.append(Decline(index, pause))
         else:
             self.effects.append(Reverse(index))
@@ -274,7 +283,7 @@
         patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
         limit = min(now + patience, event.expiry - LAST_CALL)
         txn = self.txns[event.txn] = Txn(event, now, limit, self._beyond_share(now, event.account))
-        if self.held and now + self._wait_ahead(now) > limit:
+        if self._wait_ahead(now, self._lane(txn)) > ADMITTED * patience:
             self._step(now, event.txn, Input.LATE)
             return
         self._hold(event.txn, txn, first=False)
@@ -291,54 +300,42 @@
         self.tokens[account] = spare if beyond else spare - 1.0
         return beyond
 
-    def _wait_ahead(self, now: float) -> float:
-        """How long what is held now takes to go out, by the recent flow of postings."""
-        flow = self.flow * exp((self.flow_at - now) / FLOW_MEMORY)
-        return self.held * FLOW_MEMORY / flow if flow >= FLOW_LEAST else 0.0
+    def _wait_ahead(self, now: float, lane: "Lane") -> float:
+        """How long what the lane holds takes to go out, by its recent flow."""
+        flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY)
+        return len(lane.queue) * FLOW_MEMORY / max(flow, FLOW_LEAST)
 
     def _hold(self, index: int, txn: Txn, first: bool) -> None:
-        lane = self.lanes[txn.over][txn.taken.scheme]
-        (lane.appendleft if first else lane.append)(index)
+        queue = self._lane(txn).queue
+        (queue.appendleft if first else queue.append)(index)
         self.held += 1
 
+    def _lane(self, txn: Txn) -> "Lane":
+        return self.lanes[txn.over][txn.taken.scheme]
+
     def _pump(self, now: float) -> None:
-        """Post what is held while workers have room: within the share first, then by the nearest limit."""
+        """Post what is held while workers have room: first what earns most for the time it takes."""
         if not self.held:
             return
-        blocked = set()
-        while True:
-            best, key = None, None
-            for over, lanes in enumerate(self.lanes):
-                for scheme, lane in enumerate(lanes):
-                    while lane and self._gone(lane[0], scheme):
-                        lane.popleft()
-                    if lane and (over, scheme) not in blocked:
-                        rank = (over, self.txns[lane[0]].limit)
-                        if key is None or rank < key:
-                            best, key = (over, scheme), rank
-            if best is None:
-                return
-            lane = self.lanes[best[0]][best[1]]
-            index = lane[0]
-            txn = self.txns[index]
-            worker = None
-            if now <= txn.limit:
-                worker = self._choose(now, txn)
-                if worker is None:
-                    blocked.add(best)
-                    continue
-            lane.popleft()
-            self.held -= 1
-            if worker is None:
-                self._step(now, index, Input.LATE)
-            else:
-                self.chosen = worker
-                self._step(now, index, Input.ROOM)
-
-    def _gone(self, index: int, scheme: int) -> bool:
-        """An entry whose txn lapsed while held."""
-        txn = self.txns.get(index)
-        return txn is None or txn.state is not State.HELD or txn.taken.scheme != scheme
+        lanes = [lane for both in self.lanes for lane in both if lane.queue]
+        for lane in sorted(lanes, key=self._earns, reverse=True):
+            while lane.queue:
+                index = lane.queue[0]
+                txn = self.txns[index]
+                if now > txn.limit:
+                    happened = Input.LATE
+                elif (worker := self._choose(now, txn)) is not None:
+                    happened, self.chosen = Input.ROOM, worker
+                else:
+                    break
+                lane.queue.popleft()
+                self.held -= 1
+                self._step(now, index, happened)
+
+    def _earns(self, lane: "Lane") -> float:
+        """Earnings for each running millisecond; beyond a tenant's share they shrink."""
+        scheme = self.terms.schemes[lane.scheme]
+        return scheme.earnings * (self.terms.tariff.overage if lane.over else 1.0) / lane.run.mean()
 
     def _post(self, now: float, index: int, txn: Txn) -> None:
         worker, need = self.chosen, self._need(txn)
@@ -350,8 +347,9 @@
         self._count(worker, need, now)
         if self._cold(worker, now):
             worker.pushed.append((now, self._cost(worker, txn)))
-        self.flow = self.flow * exp((self.flow_at - now) / FLOW_MEMORY) + 1.0
-        self.flow_at = now
+        lane = self._lane(txn)
+        lane.flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY) + 1.0
+        lane.flow_at = now
         self.effects.append(Post(index, worker.index, txn.taken.expiry))
 
     def _need(self, txn: Txn) -> float:
@@ -599,7 +597,7 @@
         if txn is None:
             return
         if txn.state is State.HELD:
-            self.lanes[txn.over][txn.taken.scheme].remove(event.txn)
+            self._lane(txn).queue.remove(event.txn)
             self.held -= 1
         self._step(now, event.txn, Input.LAPSED)
 
