--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -72,7 +72,7 @@
 FLOW_MEMORY = 4000.0  # ms: decay of the count of postings, by which the wait ahead is told
 FLOW_LEAST = 1.0  # postings in the sum at least: a lane that got none lately waits one memory for each held
 ADMITTED = 0.6  # of its patience a txn may have to wait by the flow, else it is turned away on arrival
-LAST_CALL = 50.0  # ms before expiry: nothing is posted or held past this
+LAST_CALL = 150.0  # ms before expiry: nothing is posted or held past this; over one patrol, so none slips by
 
 # The cold rule
 COLD_MARGIN = 0.7  # of the own share: slots may outnumber cores, runs differ from their mean
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,49 @@
+"""The one runner: scenarios, doctests and the plain asserts of the adapter."""
+
+import doctest
+import importlib
+import pkgutil
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import sableford
+import tests
+from tests import adapter
+from tests.helper import play, scenarios
+
+
+def doctested(module) -> None:
+    result = doctest.testmod(module)
+    assert not result.failed, f"{result.failed} examples failed"
+
+
+def everything() -> Iterator[tuple[str, Callable[[], None]]]:
+    for path in sorted(Path(__file__).parent.glob("scenarios/*.txt")):
+        for title, lines in scenarios(path.read_text()).items():
+            yield f"{path.stem}: {title}", lambda lines=lines: play(lines)
+    for package in (sableford, tests):
+        for found in pkgutil.walk_packages(package.__path__, package.__name__ + "."):
+            if not found.name.endswith("__main__"):
+                module = importlib.import_module(found.name)
+                if ">>>" in Path(module.__file__).read_text():
+                    yield f"examples of {found.name}", lambda module=module: doctested(module)
+    for name, check in vars(adapter).items():
+        if name.startswith("shows_"):
+            yield f"adapter: {name[6:].replace('_', ' ')}", check
+
+
+def main() -> int:
+    passed = failed = 0
+    for title, check in everything():
+        try:
+            check()
+            passed += 1
+        except Exception as problem:
+            failed += 1
+            print(f"FAILED {title}\n    {type(problem).__name__}: {problem}")
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/tests/adapter.py
@@ -0,0 +1,110 @@
+"""Plain asserts on the simulator's adapter: framing, names, indices, instances."""
+
+import json
+import subprocess
+import sys
+from struct import pack, unpack_from
+
+from sableford.simhost.door import Door
+from sableford.simhost.startup import read_terms
+
+PROFILE = {
+    "instances": 1,
+    "schemes": [{"effect": "unsafe", "sla_time_s": 0.3, "expiry_s": 5.0, "unheard_of": 1}],
+    "limits": {"most_postings": 3},
+    "obligations": {"overload_factor": 2.0, "fall_s": 2.0, "start_capacity": 0.2, "warm_within_s": 9.0},
+    "load_info": {"columns": ["depth", "x0"], "via": "inline"},
+    "specifics": {"report_x0": "free slots", "class_stretch": [2.5]},
+}
+
+
+def record(code: int, layout: str, *values) -> bytes:
+    return pack("<B" + layout, code, *values).ljust(56, b"\0")
+
+
+def frame(clock: float, *records: bytes, tail: bytes = b"") -> bytes:
+    body = b"".join(records) + tail
+    return pack("<IId", len(records), len(body), clock) + body
+
+
+def host(sent: bytes) -> tuple[int, bytes, str]:
+    command = [sys.executable, "-B", "-m", "sableford.simhost"]
+    ran = subprocess.run(command, input=sent, capture_output=True, timeout=30)
+    return ran.returncode, ran.stdout, ran.stderr.decode()
+
+
+def opening(number: int, profile: dict = PROFILE) -> bytes:
+    text = json.dumps(profile).encode()
+    entry = pack("<IBHHBfd", 77, 0, 0, 0, 1, 1.0, 0.0)
+    return frame(
+        9.0,
+        record(16, "IQII", number, 5, 0, len(text)),
+        record(24, "BII", 0, len(text), 1),
+        record(26, "IBQB", number, 2, 1, 0),
+        tail=text + entry,
+    )
+
+
+def call(number: int, rid: int) -> bytes:
+    return record(19, "IQHIQddffH", number, rid, 0, 0, 0, 14.0, 0.0, 1.0, 0.0, 0)
+
+
+def shows_an_empty_batch_is_answered() -> None:
+    assert host(frame(1.0)) == (0, pack("<II", 0, 0), "")
+
+
+def shows_a_call_is_routed_under_its_own_ids() -> None:
+    code, out, _ = host(opening(3) + frame(9.5, call(3, 12345)))
+    assert code == 0
+    route = out[16:48]
+    assert unpack_from("<BIQId", route) == (17, 3, 12345, 77, 14.0)
+
+
+def shows_an_unknown_code_stops_with_one_line() -> None:
+    code, out, told = host(opening(1) + frame(9.5, record(99, "I", 1)))
+    assert code and told.count("\n") == 1 and "99" in told
+
+
+def shows_a_short_frame_and_a_stray_tail_stop() -> None:
+    for sent in (frame(1.0, record(21, "IQ", 1, 0))[:-5], b"\1\0", frame(1.0, record(24, "BII", 0, 900, 1))):
+        code, _, told = host(sent)
+        assert code and told.count("\n") == 1 and "Traceback" not in told
+
+
+def shows_a_failure_in_the_decisions_goes_out_as_a_fault() -> None:
+    code, out, _ = host(opening(1, {**PROFILE, "limits": {}}))
+    kind, number = unpack_from("<BI", out, 8)
+    assert (code, kind, number) == (0, 21, 1) and b"most_postings" in out
+
+
+def shows_teardown_then_born_in_one_batch_forgets_the_old() -> None:
+    first = opening(1)
+    again = frame(
+        9.6, record(20, "I", 1), record(17, "IQIBBHdBB4f", 1, 8, 77, 0, 0, 301, 0.1, 0, 0, 0, 0, 0, 0)
+    )
+    code, out, told = host(first + frame(9.5, call(1, 8)) + again)
+    assert code == 0 and not told and out.endswith(pack("<II", 0, 0))
+
+
+def shows_a_full_list_removes_whom_it_omits() -> None:
+    door = Door()
+    door.roster([(9, 0, 0, 0, 1, 1.0, 0.0), (4, 0, 0, 0, 1, 1.0, 0.0)], complete=True)
+    gone = door.roster([(4, 0, 0, 0, 1, 1.0, 0.0)], complete=True)
+    assert [(line.worker, int(line.standing)) for line in gone.lines] == [(1, 1), (0, 0)]
+    assert len(door.roster([(9, 0, 0, 0, 1, 1.0, 2.0)], complete=False).lines) == 1
+
+
+def shows_a_txn_keeps_its_index_until_nothing_is_out() -> None:
+    door = Door()
+    txn = door.take(500)
+    door.posted(txn)
+    door.over(txn)
+    assert door.txn(500) == txn and door.take(501) != txn
+    door.back(txn, closed=True)
+    assert door.txn(500) is None and door.take(502) == txn
+
+
+def shows_the_start_up_text_is_read_by_meaning() -> None:
+    terms = read_terms(json.dumps(PROFILE).encode())
+    assert (terms.waiting, terms.free_slots, terms.free_memory) == (0, 1, -1)
+    assert (terms.schemes[0].sla, terms.schemes[0].stretch, terms.duties.push_span) == (300.0, 2.5, 2000.0)
