--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -41,6 +41,7 @@
 UNCERTAINTY = 1.0  # jobs, each D_j: what others send between two reports of one worker
 AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
 DRIFT = 1000.0  # ms: decay of what an aged copy still tells of the others' jobs; about the run of one txn
+OTHERS_STEP = 0.15  # of the gap that one report moves its kind's mean: the last half dozen reports tell it
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
@@ -149,7 +150,7 @@
     """Workers built alike: their slots, and their pace against the fleet."""
 
     def __init__(self, runs: list["Run"]) -> None:
-        self.slots = 0.0
+        self.slots, self.others = 0.0, -1.0
         self.runs = runs
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
 
@@ -205,7 +206,7 @@
         self.txns: dict[int, Txn] = {}
         self.workers: dict[int, Worker] = {}
         self.ring: list[Worker] = []
-        self.turn = -1
+        self.turn, self.scouted = -1, 0.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
@@ -365,9 +366,8 @@
 
     def _estimate(self, worker: Worker, now: float, mean: float) -> float:
         """Slots in flight: own ones, and the others' by the copy, which drifts to the mean with age."""
-        # Others fill no more than the slots for long: without this a crowd seen once was taken for one that
-        # stays, no worker had room, and with nothing posted no report came to say otherwise.
-        usual = min(mean, max(worker.kind.slots, UNHEARD_SLOTS) - 1.0)
+        # Kinds differ: with one mean for all, many schedulers saw room only on the strongest kind at once.
+        usual = worker.kind.others if worker.kind.others >= 0.0 else mean
         if worker.others < 0.0:
             return worker.own + usual
         return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / DRIFT)
@@ -375,7 +375,7 @@
     def _choose(self, now: float, txn: Txn) -> Worker | None:
         """The worker that takes the txn now, or none with room for it."""
         need = self._need(txn)
-        heard = [worker.others for worker in self.ring if worker.others >= 0.0]
+        heard = [kind.others for kind in self.kinds.values() if kind.others >= 0.0]
         mean = sum(heard) / len(heard) if heard else 0.0
         sizes = [max(worker.kind.slots, UNHEARD_SLOTS) * worker.pace for worker in self.ring]
         size = sum(sizes) / len(sizes) if sizes else 1.0
@@ -383,15 +383,18 @@
         sound = [worker for worker in fit if self._sound(worker, txn)]
         crossing = CROSSING_STEP if self.terms.tariff.crossing else 0.0
         indices: list[tuple[float, Worker]] = []
+        full: list[tuple[float, Worker]] = []
         for worker in sound or fit:
+            if worker.waits:
+                continue
             jobs = self._estimate(worker, now, mean)
             slots = max(worker.kind.slots, UNHEARD_SLOTS)
-            if worker.waits or (jobs + need > slots + SLACK_SLOTS and jobs > SLACK_SLOTS):
-                continue
+            room = jobs + need <= slots + SLACK_SLOTS or jobs <= SLACK_SLOTS
             index = (jobs + need) * size / (slots * worker.pace) - need
-            indices.append((index + (crossing if worker.zone != self.terms.zone else 0.0), worker))
+            index += crossing if worker.zone != self.terms.zone else 0.0
+            (indices if room else full).append((index, worker))
         if not indices:
-            return None
+            return self._scout(now, full)
         lowest = min(index for index, _ in indices)
         if self.turn < 0:
             self.turn = self._chance(len(self.ring))
@@ -404,6 +407,19 @@
         least = [worker for index, worker in indices if index - lowest < 1e-9]
         return least[self._chance(len(least))]
 
+    def _scout(self, now: float, full: list[tuple[float, Worker]]) -> Worker | None:
+        """One txn now and then to the least of the full copies that aged.
+
+        Without it a crowd seen once was taken for one that stays: no worker had room, and with nothing posted
+        no report came to say otherwise.
+        """
+        old = now - AGE_LIMIT - self.lag
+        aged = [pair for pair in full if pair[1].others >= 0.0 and pair[1].true_at < old]
+        if not aged or now - self.scouted < AGE_LIMIT:
+            return None
+        self.scouted = now
+        return min(aged, key=lambda pair: pair[0])[1]
+
     def _refresh(self, now: float, indices: list[tuple[float, Worker]], below: float) -> None:
         """Probe the copies that break the bound, where that is allowed."""
         if not self.terms.tariff.probes:
@@ -571,6 +587,8 @@
         self._learn_lag(worker, jobs, now)
         worker.reported, worker.true_at = jobs, now - self.lag
         worker.others = max(0.0, jobs - worker.own_at(worker.true_at))
+        step = worker.others - kind.others if kind.others >= 0.0 else worker.others + 1.0
+        kind.others += step * (OTHERS_STEP if kind.others >= 0.0 else 1.0)
 
     def _learn_lag(self, worker: Worker, jobs: float, now: float) -> None:
         """How late reports are: the lag at which own sends explain most of the change between two of them."""
