--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -60,8 +60,8 @@
 FAULT_MEMORY = 10_000.0  # ms: decay of errors and of finishes beside them
 FAULT_WEIGHT = 3.0  # finishes taken for granted, so that one error alone is not a tenth
 FAULTY = 0.15  # of finishes: far over what healthy workers return, under the mildest fault worth leaving for
-SHUN = 1000.0  # ms without postings after a failed connection; doubled at each further one
-SHUN_MOST = 8000.0  # ms: a worker that came back is found within this
+SHUN = 500.0  # ms without postings after a failed connection; doubled at each further one
+SHUN_MOST = 4000.0  # ms: a worker that came back is found within this
 FULL_REST = 150.0  # ms without postings after a worker turned one away
 
 # Waiting and moving
@@ -435,8 +435,6 @@
         scheme = self.terms.schemes[txn.taken.scheme]
         if not worker.ready or now < worker.rest_until:
             return False
-        if worker.misses and worker.postings:  # a rush at the end of each pause lost them all to a dead worker
-            return False
         if txn.origin is not None and scheme.repeats is Repeats.REFERENCED:
             first = txn.origin
             if now - first.sent > scheme.span - LAST_CALL:
