--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -150,7 +150,7 @@
     """Workers built alike: their slots, and their pace against the fleet."""
 
     def __init__(self, runs: list["Run"]) -> None:
-        self.slots, self.others = 0.0, -1.0
+        self.slots, self.size, self.others = 0.0, 0.0, -1.0
         self.runs = runs
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
 
@@ -584,6 +584,11 @@
             jobs += load[terms.waiting] if terms.waiting >= 0 else 0.0
         else:
             return
+        self._renew(worker, jobs, now)
+
+    def _renew(self, worker: Worker, jobs: float, now: float) -> None:
+        """A fresh copy: the jobs at the worker a lag ago, less the own ones then."""
+        kind = worker.kind
         self._learn_lag(worker, jobs, now)
         worker.reported, worker.true_at = jobs, now - self.lag
         worker.others = max(0.0, jobs - worker.own_at(worker.true_at))
@@ -680,9 +685,18 @@
                 worker.forget()
                 worker.touched = now
             worker.ready, worker.since = line.standing is Standing.READY, line.since
+            if self.terms.live and line.rating > 0.0:
+                self._weigh(worker, line.rating, now)
         self.ring = [self.workers[index] for index in sorted(self.workers)]
         self._pump(now)
 
+    def _weigh(self, worker: Worker, rating: float, now: float) -> None:
+        """A live rating is a report too: its kind's size over one more than the jobs held per slot."""
+        kind = worker.kind
+        kind.size = max(kind.size, rating)
+        if kind.slots:
+            self._renew(worker, kind.slots * (kind.size / rating - 1.0), now)
+
 
 LIFE = {
     (State.HELD, Input.ROOM): (State.OUT, Scheduler._post),
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -61,7 +61,8 @@
 
 
 class Terms(NamedTuple):
-    """Everything the core knows at start. The last five say which report figure stands where, -1 for none."""
+    """Everything the core knows at start. The last five say which report figure stands where, -1 for none;
+    `live` that a worker's rating falls with what it holds."""
 
     schedulers: int
     zone: int
@@ -71,6 +72,7 @@
     tariff: Tariff
     tells_start: bool
     progress: float
+    live: bool
     waiting: int
     handled: int
     free_slots: int
--- a/sableford/simhost/startup.py
+++ b/sableford/simhost/startup.py
@@ -67,6 +67,7 @@
     prices: _Prices = msgspec.field(default_factory=_Prices)
     tenants: list[_Tenant] = []
     overage_earnings: float = 1.0
+    weights: str = "off"
 
 
 _decoder = msgspec.json.Decoder(_Profile)
@@ -121,6 +122,7 @@
         ),
         tells_start=facts.tells_start,
         progress=facts.progress_s * 1000.0,
+        live=profile.weights == "live",
         waiting=places.get("depth", -1),
         handled=places.get("concurrent", -1),
         free_slots=meanings.get("free slots", -1),
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -104,6 +104,7 @@
                 ),
                 tells_start=bool(told["tells"]),
                 progress=told["progress"],
+                live=bool(told.get("live", 0)),
                 waiting=0,
                 handled=-1,
                 free_slots=int(told["free"]),
@@ -134,7 +135,7 @@
             int(facts.get("kind", 0)),
             int(facts.get("cell", 0)),
             standing,
-            1.0,
+            facts.get("rating", 1.0),
             since,
         )
 
