--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -592,9 +592,8 @@
         self._learn_lag(worker, jobs, now)
         worker.reported, worker.true_at = jobs, now - self.lag
         worker.others = max(0.0, jobs - worker.own_at(worker.true_at))
-        # One long line must not make a kind look full: what counts is how often a slot is taken.
-        taken = min(worker.others, kind.slots)
-        kind.others += (taken - kind.others) * OTHERS_STEP if kind.others >= 0.0 else taken + 1.0
+        step = worker.others - kind.others if kind.others >= 0.0 else worker.others + 1.0
+        kind.others += step * (OTHERS_STEP if kind.others >= 0.0 else 1.0)
 
     def _learn_lag(self, worker: Worker, jobs: float, now: float) -> None:
         """How late reports are: the lag at which own sends explain most of the change between two of them."""
