--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -562,9 +562,10 @@
             drop = exp((run.touched - now) / RUN_MEMORY)
             run.spent, run.done, run.touched = run.spent * drop, run.done * drop, now
             if count:
-                run.spent += spell * count
+                # A worker that hangs or died would make its whole kind look slow, and all runs long.
+                run.spent += 0.0 if worker.still else spell * count
                 due += spell * count / run.mean()
-        kind.due += due
+        kind.due += 0.0 if worker.still else due
         worker.done, worker.due, worker.touched = worker.done * fade, worker.due * fade + due, now
         pace = (worker.done + PACE_WEIGHT * kind.pace()) / (worker.due + PACE_WEIGHT)
         worker.pace = max(PACE_FLOOR, pace)
@@ -592,6 +593,8 @@
         self._learn_lag(worker, jobs, now)
         worker.reported, worker.true_at = jobs, now - self.lag
         worker.others = max(0.0, jobs - worker.own_at(worker.true_at))
+        if worker.still or worker.misses:  # what piles up on a dead worker says nothing of its kind
+            return
         step = worker.others - kind.others if kind.others >= 0.0 else worker.others + 1.0
         kind.others += step * (OTHERS_STEP if kind.others >= 0.0 else 1.0)
 
