--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -697,7 +697,8 @@
         """A live rating is a report too: its kind's size over one more than the jobs held per slot."""
         kind = worker.kind
         kind.size = max(kind.size, rating)
-        if kind.slots:
+        # All schedulers are told the same rating at once: used while the own copy is fresh, it herds them.
+        if kind.slots and now - worker.true_at > AGE_LIMIT + self.lag:
             self._renew(worker, kind.slots * (kind.size / rating - 1.0), now)
 
 
