--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -41,7 +41,8 @@
 UNCERTAINTY = 1.0  # jobs, each D_j: what others send between two reports of one worker
 AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
 DRIFT = 1000.0  # ms: decay of what an aged copy still tells of the others' jobs; about the run of one txn
-OTHERS_STEP = 0.15  # of the gap that one report moves its kind's mean: the last half dozen reports tell it
+KIND_MEMORY = 3000.0  # ms: decay of a kind's reports in its mean of others; a few reports of each worker
+KIND_WEIGHT = 0.3  # reports that speak for idle workers: a kind not heard of for long is tried again
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
@@ -150,13 +151,22 @@
     """Workers built alike: their slots, and their pace against the fleet."""
 
     def __init__(self, runs: list["Run"]) -> None:
-        self.slots, self.size, self.others = 0.0, 0.0, -1.0
+        self.slots, self.size = 0.0, 0.0
+        self.held, self.heard, self.heard_at = 0.0, 0.0, 0.0
         self.runs = runs
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
 
     def pace(self) -> float:
         return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
 
+    def others(self, now: float) -> float:
+        """Mean slots taken by others at a worker of this kind, by recent reports; below 0 if never heard of.
+
+        It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
+        """
+        fade = exp((self.heard_at - now) / KIND_MEMORY)
+        return self.held * fade / (self.heard * fade + KIND_WEIGHT) if self.heard else -1.0
+
 
 class Run:
     """The mean run of one scheme's txns over the fleet: running time spent for each finish."""
@@ -364,10 +374,11 @@
 
     # The mechanism: aged copies, the local bound, the rotation
 
-    def _estimate(self, worker: Worker, now: float, mean: float) -> float:
-        """Slots in flight: own ones, and the others' by the copy, which drifts to the mean with age."""
-        # Kinds differ: with one mean for all, many schedulers saw room only on the strongest kind at once.
-        usual = worker.kind.others if worker.kind.others >= 0.0 else mean
+    def _estimate(self, worker: Worker, now: float, usual: float) -> float:
+        """Slots in flight: own ones, and the others' by the copy, which drifts to its kind's mean with age.
+
+        Kinds differ: with one mean for all, many schedulers saw room only on the strongest kind at once.
+        """
         if worker.others < 0.0:
             return worker.own + usual
         return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / DRIFT)
@@ -375,8 +386,10 @@
     def _choose(self, now: float, txn: Txn) -> Worker | None:
         """The worker that takes the txn now, or none with room for it."""
         need = self._need(txn)
-        heard = [kind.others for kind in self.kinds.values() if kind.others >= 0.0]
+        kinds = {kind: kind.others(now) for kind in self.kinds.values()}
+        heard = [others for others in kinds.values() if others >= 0.0]
         mean = sum(heard) / len(heard) if heard else 0.0
+        usual = {kind: others if others >= 0.0 else mean for kind, others in kinds.items()}
         sizes = [max(worker.kind.slots, UNHEARD_SLOTS) * worker.pace for worker in self.ring]
         size = sum(sizes) / len(sizes) if sizes else 1.0
         fit = [worker for worker in self.ring if self._allowed(worker, now, txn)]
@@ -387,7 +400,7 @@
         for worker in sound or fit:
             if worker.waits:
                 continue
-            jobs = self._estimate(worker, now, mean)
+            jobs = self._estimate(worker, now, usual[worker.kind])
             slots = max(worker.kind.slots, UNHEARD_SLOTS)
             room = jobs + need <= slots + SLACK_SLOTS or jobs <= SLACK_SLOTS
             index = (jobs + need) * size / (slots * worker.pace) - need
@@ -595,8 +608,8 @@
         worker.others = max(0.0, jobs - worker.own_at(worker.true_at))
         if worker.still or worker.misses:  # what piles up on a dead worker says nothing of its kind
             return
-        step = worker.others - kind.others if kind.others >= 0.0 else worker.others + 1.0
-        kind.others += step * (OTHERS_STEP if kind.others >= 0.0 else 1.0)
+        fade = exp((kind.heard_at - now) / KIND_MEMORY)
+        kind.held, kind.heard, kind.heard_at = kind.held * fade + worker.others, kind.heard * fade + 1.0, now
 
     def _learn_lag(self, worker: Worker, jobs: float, now: float) -> None:
         """How late reports are: the lag at which own sends explain most of the change between two of them."""
