--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -42,7 +42,7 @@
 AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
 DRIFT = 1000.0  # ms: decay of what an aged copy still tells of the others' jobs; about the run of one txn
 KIND_MEMORY = 3000.0  # ms: decay of a kind's reports in its mean of others; a few reports of each worker
-KIND_WEIGHT = 0.3  # reports that speak for idle workers: a kind not heard of for long is tried again
+KIND_FADE = 2000.0  # ms: decay of a kind's mean past the age limit without a report, so that it is tried again
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
@@ -164,8 +164,8 @@
 
         It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
         """
-        fade = exp((self.heard_at - now) / KIND_MEMORY)
-        return self.held * fade / (self.heard * fade + KIND_WEIGHT) if self.heard else -1.0
+        silence = max(0.0, now - self.heard_at - AGE_LIMIT)
+        return self.held / self.heard * exp(-silence / KIND_FADE) if self.heard else -1.0
 
 
 class Run:
