Assume that other schedulers send an unheard worker as much as we do

Cause: at the start 16 schedulers saw the same empty fleet and filled the queues in the first second.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -42,7 +42,7 @@
 AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
 DRIFT = 1000.0  # ms: decay of what an aged copy still tells of the others' jobs; about the run of one txn
 KIND_MEMORY = 3000.0  # ms: decay of a kind's reports in its mean of others; a few reports of each worker
-KIND_FADE = 2000.0  # ms: decay of a kind's mean past the age limit without a report, so that it is tried again
+KIND_FADE = 2000.0  # ms: decay of a kind's mean past the age limit without a report; then it is tried again
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
@@ -380,7 +380,8 @@
         Kinds differ: with one mean for all, many schedulers saw room only on the strongest kind at once.
         """
         if worker.others < 0.0:
-            return worker.own + usual
+            # While nothing is heard all schedulers see the same empty fleet, and filled it many times over.
+            return max(worker.own + usual, worker.own * self.terms.schedulers)
         return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / DRIFT)
 
     def _choose(self, now: float, txn: Txn) -> Worker | None:
