--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -40,7 +40,7 @@
 IMBALANCE = 1.5  # jobs, D: a slot is lost or a wait begun when two workers differ by more than about this
 UNCERTAINTY = 1.0  # jobs, each D_j: what others send between two reports of one worker
 AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
-DRIFT = 1000.0  # ms: decay of what an aged copy still tells of the others' jobs; about the run of one txn
+DRIFT = 1.0  # mean runs: decay of what an aged copy tells of the others' jobs; by then most of them are done
 KIND_MEMORY = 3000.0  # ms: decay of a kind's reports in its mean of others; a few reports of each worker
 KIND_FADE = 2000.0  # ms: decay of a kind's mean past the age limit without a report; then it is tried again
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
@@ -216,7 +216,7 @@
         self.txns: dict[int, Txn] = {}
         self.workers: dict[int, Worker] = {}
         self.ring: list[Worker] = []
-        self.turn, self.scouted = -1, 0.0
+        self.turn, self.scouted, self.drift = -1, 0.0, 0.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
@@ -382,11 +382,13 @@
         if worker.others < 0.0:
             # While nothing is heard all schedulers see the same empty fleet, and filled it many times over.
             return max(worker.own + usual, worker.own * self.terms.schedulers)
-        return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / DRIFT)
+        return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / self.drift)
 
     def _choose(self, now: float, txn: Txn) -> Worker | None:
         """The worker that takes the txn now, or none with room for it."""
         need = self._need(txn)
+        done = sum(run.done + RUN_WEIGHT for run in self.runs)
+        self.drift = DRIFT * sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs) / done
         kinds = {kind: kind.others(now) for kind in self.kinds.values()}
         heard = [others for others in kinds.values() if others >= 0.0]
         mean = sum(heard) / len(heard) if heard else 0.0
