--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -40,7 +40,7 @@
 IMBALANCE = 1.5  # jobs, D: a slot is lost or a wait begun when two workers differ by more than about this
 UNCERTAINTY = 1.0  # jobs, each D_j: what others send between two reports of one worker
 AGE_LIMIT = 1000.0  # ms: older copies break the bound; about the run of one txn
-DRIFT = 1.0  # mean runs: decay of what an aged copy tells of the others' jobs; by then most of them are done
+DRIFT = 0.5  # mean runs: decay of what an aged copy tells of the others' jobs; by then most of them are done
 KIND_MEMORY = 3000.0  # ms: decay of a kind's reports in its mean of others; a few reports of each worker
 KIND_FADE = 2000.0  # ms: decay of a kind's mean past the age limit without a report; then it is tried again
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
