--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -121,7 +121,7 @@
         self.zone, self.cell, self.kind = line.zone, line.cell, kind
         self.ready, self.since = line.standing is Standing.READY, line.since
         self.postings: dict[tuple[int, int], Posting] = {}
-        self.own = 0.0
+        self.own = self.shown = 0.0
         self.past: deque[tuple[float, float]] = deque()
         self.running = [0] * len(kind.runs)
         self.pushed: deque[tuple[float, float]] = deque()
@@ -137,14 +137,12 @@
         self.waits = self.still = False
         self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
 
-    def own_at(self, when: float) -> float:
-        """Slots of own postings out at that time."""
-        count = 0.0
-        for at, own in reversed(self.past):
+    def shown_at(self, when: float) -> float:
+        """Slots of own postings that a report true at that time counts."""
+        for at, shown in reversed(self.past):
             if at <= when:
-                return own
-            count = own
-        return 0.0 if self.past else count
+                return shown
+        return 0.0
 
 
 class Kind:
@@ -213,6 +211,8 @@
     def __init__(self, terms: Terms, seed: int) -> None:
         self.terms, self.seed, self.draws = terms, seed, 0
         self.effects: list[Effect] = []
+        # Where no figure counts the waiting line, own postings in it hid the others' running ones.
+        self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
         self.txns: dict[int, Txn] = {}
         self.workers: dict[int, Worker] = {}
         self.ring: list[Worker] = []
@@ -355,7 +355,9 @@
         txn.posted += 1
         if txn.origin is None:
             txn.origin = posting
-        self._count(worker, need, now)
+        worker.own += need
+        if self.line_shown:
+            self._show(worker, need, now)
         if self._cold(worker, now):
             worker.pushed.append((now, self._cost(worker, txn)))
         lane = self._lane(txn)
@@ -366,9 +368,9 @@
     def _need(self, txn: Txn) -> float:
         return max(1.0, txn.taken.slots, txn.taken.memory if self.terms.free_memory >= 0 else 0.0)
 
-    def _count(self, worker: Worker, slots: float, now: float) -> None:
-        worker.own = max(0.0, worker.own + slots)
-        worker.past.append((now, worker.own))
+    def _show(self, worker: Worker, slots: float, now: float) -> None:
+        worker.shown = max(0.0, worker.shown + slots)
+        worker.past.append((now, worker.shown))
         while len(worker.past) > 1 and worker.past[1][0] < now - HISTORY:
             worker.past.popleft()
 
@@ -501,6 +503,8 @@
         if not posting.started:
             posting.started = True
             worker.running[posting.scheme] += 1
+            if not self.line_shown:
+                self._show(worker, posting.need, now)
         posting.news = now
         worker.still = False
         busy = sum(other.need for other in worker.postings.values() if other.started)
@@ -526,7 +530,9 @@
         worker.postings.pop((event.txn, event.posting), None)
         self._measure(worker, now)
         self._judge(worker, posting, event.ending, now)
-        self._count(worker, -posting.need, now)
+        worker.own = max(0.0, worker.own - posting.need)
+        if self.line_shown or posting.started:
+            self._show(worker, -posting.need, now)
         if event.load:
             self._report(worker, event.load, now)
         self._look(worker, now)
@@ -608,7 +614,7 @@
         kind = worker.kind
         self._learn_lag(worker, jobs, now)
         worker.reported, worker.true_at = jobs, now - self.lag
-        worker.others = max(0.0, jobs - worker.own_at(worker.true_at))
+        worker.others = max(0.0, jobs - worker.shown_at(worker.true_at))
         if worker.still or worker.misses:  # what piles up on a dead worker says nothing of its kind
             return
         fade = exp((kind.heard_at - now) / KIND_MEMORY)
@@ -622,7 +628,7 @@
         fade = exp((self.misfit_at - now) / LAG_MEMORY)
         self.misfit_at = now
         for at, lag in enumerate(LAGS):
-            moved = worker.own_at(now - lag) - worker.own_at(since - lag)
+            moved = worker.shown_at(now - lag) - worker.shown_at(since - lag)
             self.misfit[at] = self.misfit[at] * fade + (jobs - before - moved) ** 2
         self.lag = LAGS[min(range(len(LAGS)), key=self.misfit.__getitem__)]
 
