--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -618,7 +618,9 @@
         if worker.still or worker.misses:  # what piles up on a dead worker says nothing of its kind
             return
         fade = exp((kind.heard_at - now) / KIND_MEMORY)
-        kind.held, kind.heard, kind.heard_at = kind.held * fade + worker.others, kind.heard * fade + 1.0, now
+        # Lines in the mean closed all workers at once, then opened them all: only slots taken count.
+        taken = min(worker.others, kind.slots)
+        kind.held, kind.heard, kind.heard_at = kind.held * fade + taken, kind.heard * fade + 1.0, now
 
     def _learn_lag(self, worker: Worker, jobs: float, now: float) -> None:
         """How late reports are: the lag at which own sends explain most of the change between two of them."""
