--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -314,7 +314,8 @@
     def _wait_ahead(self, now: float, lane: "Lane") -> float:
         """How long what the lane holds takes to go out, by its recent flow."""
         flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY)
-        return len(lane.queue) * FLOW_MEMORY / max(flow, FLOW_LEAST)
+        # The first in line goes once there is room; one held txn made small schedulers decline the rest.
+        return max(0, len(lane.queue) - 1) * FLOW_MEMORY / max(flow, FLOW_LEAST)
 
     def _hold(self, index: int, txn: Txn, first: bool) -> None:
         queue = self._lane(txn).queue
