--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -158,12 +158,12 @@
     def pace(self) -> float:
         return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
 
-    def others(self, now: float, awaited: bool) -> float:
+    def others(self, now: float) -> float:
         """Mean slots taken by others at a worker of this kind, by recent reports; below 0 if never heard of.
 
         It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
         """
-        silence = 0.0 if awaited else max(0.0, now - self.heard_at - AGE_LIMIT)
+        silence = max(0.0, now - self.heard_at - AGE_LIMIT)
         return self.held / self.heard * exp(-silence / KIND_FADE) if self.heard else -1.0
 
 
@@ -393,9 +393,7 @@
         need = self._need(txn)
         done = sum(run.done + RUN_WEIGHT for run in self.runs)
         self.drift = DRIFT * sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs) / done
-        # In a slowdown no report comes because nothing ends: a kind with postings running is no silent one.
-        awaited = {worker.kind for worker in self.ring if worker.postings and not worker.still}
-        kinds = {kind: kind.others(now, kind in awaited) for kind in self.kinds.values()}
+        kinds = {kind: kind.others(now) for kind in self.kinds.values()}
         heard = [others for others in kinds.values() if others >= 0.0]
         mean = sum(heard) / len(heard) if heard else 0.0
         usual = {kind: others if others >= 0.0 else mean for kind, others in kinds.items()}
