--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 from enum import IntEnum, auto
+from heapq import heappop, heappush
 from math import exp
 from zlib import crc32
 
@@ -149,7 +150,8 @@
 class Kind:
     """Workers built alike: their slots, and their pace against the fleet."""
 
-    def __init__(self, runs: list["Run"]) -> None:
+    def __init__(self, index: int, runs: list["Run"]) -> None:
+        self.index = index
         self.slots, self.size = 0.0, 0.0
         self.held, self.heard, self.heard_at = 0.0, 0.0, 0.0
         self.runs = runs
@@ -222,6 +224,8 @@
         self.runs = [Run(scheme) for scheme in terms.schemes]
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
         self.held = 0
+        self.limits: list[tuple[float, int]] = []
+        self.born = -1.0
         self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
         self.tokens = [account.allowance / terms.schedulers for account in terms.accounts]
         self.token_at = [0.0] * len(terms.accounts)
@@ -239,6 +243,8 @@
 
     def handle(self, now: float, event: Event) -> list[Effect]:
         self.effects = []
+        if self.born < 0.0:
+            self.born = now
         self.handlers[type(event)](now, event)
         if not self.patrolling and (self.held or any(worker.postings for worker in self.ring)):
             self.patrolling = True
@@ -322,12 +328,27 @@
         queue = self._lane(txn).queue
         (queue.appendleft if first else queue.append)(index)
         self.held += 1
+        heappush(self.limits, (txn.limit, index))
+
+    def _let_go(self, index: int, txn: Txn) -> None:
+        self._lane(txn).queue.remove(index)
+        self.held -= 1
+
+    def _expire(self, now: float) -> None:
+        """Give up what is held past its limit; a short expiry was forgotten behind a head with a long one."""
+        while self.limits and self.limits[0][0] < now:
+            _, index = heappop(self.limits)
+            txn = self.txns.get(index)
+            if txn is not None and txn.state is State.HELD and txn.limit < now:
+                self._let_go(index, txn)
+                self._step(now, index, Input.LATE)
 
     def _lane(self, txn: Txn) -> "Lane":
         return self.lanes[txn.over][txn.taken.scheme]
 
     def _pump(self, now: float) -> None:
         """Post what is held while workers have room: first what earns most for the time it takes."""
+        self._expire(now)
         if not self.held:
             return
         lanes = [lane for both in self.lanes for lane in both if lane.queue]
@@ -335,15 +356,12 @@
             while lane.queue:
                 index = lane.queue[0]
                 txn = self.txns[index]
-                if now > txn.limit:
-                    happened = Input.LATE
-                elif (worker := self._choose(now, txn)) is not None:
-                    happened, self.chosen = Input.ROOM, worker
-                else:
+                if (worker := self._choose(now, txn)) is None:
                     break
                 lane.queue.popleft()
                 self.held -= 1
-                self._step(now, index, happened)
+                self.chosen = worker
+                self._step(now, index, Input.ROOM)
 
     def _earns(self, lane: "Lane") -> float:
         """Earnings for each running millisecond; beyond a tenant's share they shrink."""
@@ -453,7 +471,7 @@
     def _allowed(self, worker: Worker, now: float, txn: Txn) -> bool:
         """What the rules and the wire forbid, whatever else is at hand."""
         scheme = self.terms.schemes[txn.taken.scheme]
-        if not worker.ready or now < worker.rest_until:
+        if not worker.ready or now < worker.rest_until or scheme.kind not in (-1, worker.kind.index):
             return False
         if txn.origin is not None and scheme.repeats is Repeats.REFERENCED:
             first = txn.origin
@@ -486,6 +504,8 @@
     def _budget(self, worker: Worker, now: float, txn: Txn) -> bool:
         """Whether the own share of what a cold worker bears in any one span still holds this txn."""
         duties = self.terms.duties
+        if now - self.born < duties.push_span:  # what a scheduler killed just now sent is not known here
+            return False
         while worker.pushed and worker.pushed[0][0] < now - duties.push_span:
             worker.pushed.popleft()
         age = max(0.0, now - worker.since - duties.push_span)
@@ -652,8 +672,7 @@
         if txn is None:
             return
         if txn.state is State.HELD:
-            self._lane(txn).queue.remove(event.txn)
-            self.held -= 1
+            self._let_go(event.txn, txn)
         self._step(now, event.txn, Input.LAPSED)
 
     # Looking after what is out
@@ -709,7 +728,7 @@
             worker = self.workers.get(line.worker)
             kind = self.kinds.get(line.kind)
             if kind is None:
-                kind = self.kinds[line.kind] = Kind(self.runs)
+                kind = self.kinds[line.kind] = Kind(line.kind, self.runs)
             if worker is None:
                 worker = self.workers[line.worker] = Worker(line.worker, line, kind)
                 worker.touched = now
