--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -46,7 +46,6 @@
 KIND_FADE = 2000.0  # ms: decay of a kind's mean past the age limit without a report; then it is tried again
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
-LAG_REPORTS = 20.0  # reports compared before the lag may move: a handful agree with any lag by chance
 LAG_GAIN = 0.85  # of the present lag's misfit: less than this is a finding, more is chance
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
 CROSSING_STEP = 0.25  # jobs added to a worker in another zone where crossing has a price
@@ -220,7 +219,6 @@
         self.txns: dict[int, Txn] = {}
         self.workers: dict[int, Worker] = {}
         self.ring: list[Worker] = []
-        self.compared = 0.0
         self.turn, self.scouted, self.drift = -1, 0.0, 0.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
@@ -653,14 +651,12 @@
             return
         fade = exp((self.misfit_at - now) / LAG_MEMORY)
         self.misfit_at = now
-        self.compared = self.compared * fade + 1.0
         for at, lag in enumerate(LAGS):
             moved = worker.shown_at(now - lag) - worker.shown_at(since - lag)
             self.misfit[at] = self.misfit[at] * fade + (jobs - before - moved) ** 2
         # Where own sends are a small part the misfits are all but flat, and their least was any lag.
         best = min(range(len(LAGS)), key=self.misfit.__getitem__)
-        enough = self.compared >= LAG_REPORTS
-        if enough and self.misfit[best] < LAG_GAIN * self.misfit[LAGS.index(self.lag)]:
+        if self.misfit[best] < LAG_GAIN * self.misfit[LAGS.index(self.lag)]:
             self.lag = LAGS[best]
 
     def _sampled(self, now: float, event: Sampled) -> None:
