--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -17,6 +17,7 @@
     Ended,
     Ending,
     Event,
+    Follow,
     Lapsed,
     Listed,
     Post,
@@ -32,6 +33,7 @@
     Started,
     Taken,
     Terms,
+    Unfollowed,
     Wake,
     Woken,
 )
@@ -67,6 +69,8 @@
 SHUN_MOST = 4000.0  # ms: a worker that came back is found within this
 FULL_REST = 150.0  # ms without postings after a worker turned one away
 
+FOLLOW_AGAIN = 500.0  # ms before the roster is asked for again, at first; well under its own lateness
+
 # Waiting and moving
 PATROL = 100.0  # ms between looks at what is held and out
 START_WAIT = 200.0  # ms: a start is told within a round trip; an older unstarted posting waits in line there
@@ -225,7 +229,7 @@
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
         self.held = 0
         self.limits: list[tuple[float, int]] = []
-        self.born = -1.0
+        self.born, self.follow_at, self.refused = -1.0, 0.0, 0
         self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
         self.tokens = [account.allowance / terms.schedulers for account in terms.accounts]
         self.token_at = [0.0] * len(terms.accounts)
@@ -239,14 +243,18 @@
             Woken: self._patrol,
             Sampled: self._sampled,
             Roster: self._roster,
+            Unfollowed: self._unfollowed,
         }
 
     def handle(self, now: float, event: Event) -> list[Effect]:
         self.effects = []
         if self.born < 0.0:
             self.born = now
+            if self.terms.follows:
+                self.effects.append(Follow())
         self.handlers[type(event)](now, event)
-        if not self.patrolling and (self.held or any(worker.postings for worker in self.ring)):
+        busy = self.held or self.follow_at or any(worker.postings for worker in self.ring)
+        if busy and not self.patrolling:
             self.patrolling = True
             self.effects.append(Wake(PATROL))
         return self.effects
@@ -685,6 +693,9 @@
 
     def _patrol(self, now: float, event: Woken) -> None:
         self.patrolling = False
+        if self.follow_at and now >= self.follow_at:
+            self.follow_at = 0.0
+            self.effects.append(Follow())
         patience = self.terms.progress * STILL + STILL_SLACK
         for worker in self.workers.values():
             self._measure(worker, now)
@@ -723,7 +734,14 @@
 
     # The roster
 
+    def _unfollowed(self, now: float, event: Unfollowed) -> None:
+        """Ask again after a pause that doubles, drawn by chance so that schedulers don't all call at once."""
+        pause = FOLLOW_AGAIN * 2.0 ** min(self.refused, 3)
+        self.refused += 1
+        self.follow_at = now + pause * (1.0 + self._chance(1000) / 1000.0)
+
     def _roster(self, now: float, event: Roster) -> None:
+        self.refused = 0
         for line in event.lines:
             worker = self.workers.get(line.worker)
             kind = self.kinds.get(line.kind)
--- a/sableford/model/__init__.py
+++ b/sableford/model/__init__.py
@@ -1,6 +1,6 @@
 """The core's types: what comes in, what goes out, and what is read at start."""
 
-from sableford.model.effects import CallOff, Decline, Effect, Post, Probe, Reverse, Wake
+from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
 from sableford.model.events import (
     Ended,
     Ending,
@@ -13,6 +13,7 @@
     Standing,
     Started,
     Taken,
+    Unfollowed,
     Woken,
 )
 from sableford.model.terms import Account, Duties, Repeats, Scheme, Scope, Tariff, Terms
@@ -26,6 +27,7 @@
     "Ended",
     "Ending",
     "Event",
+    "Follow",
     "Lapsed",
     "Listed",
     "Post",
@@ -42,6 +44,7 @@
     "Taken",
     "Tariff",
     "Terms",
+    "Unfollowed",
     "Wake",
     "Woken",
 ]
--- a/sableford/model/effects.py
+++ b/sableford/model/effects.py
@@ -43,4 +43,8 @@
     worker: int
 
 
-Effect = Post | CallOff | Decline | Reverse | Wake | Probe
+class Follow(NamedTuple):
+    """Ask for the roster's changes from now on; what was missed comes first."""
+
+
+Effect = Post | CallOff | Decline | Reverse | Wake | Probe | Follow
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -100,4 +100,8 @@
     lines: tuple[Listed, ...]
 
 
-Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster
+class Unfollowed(NamedTuple):
+    """The roster's changes were asked for in vain, or stopped coming."""
+
+
+Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster | Unfollowed
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -62,7 +62,7 @@
 
 class Terms(NamedTuple):
     """Everything the core knows at start. The last five say which report figure stands where, -1 for none;
-    `live` that a worker's rating falls with what it holds."""
+    `live` that a worker's rating falls with what it holds, `follows` that the roster must be asked for."""
 
     schedulers: int
     zone: int
@@ -73,6 +73,7 @@
     tells_start: bool
     progress: float
     live: bool
+    follows: bool
     waiting: int
     handled: int
     free_slots: int
--- a/sableford/simhost/__main__.py
+++ b/sableford/simhost/__main__.py
@@ -9,6 +9,7 @@
     Effect,
     Ended,
     Event,
+    Follow,
     Lapsed,
     Post,
     Probe,
@@ -17,6 +18,7 @@
     Sampled,
     Started,
     Taken,
+    Unfollowed,
     Wake,
     Woken,
 )
@@ -56,6 +58,8 @@
                 door.over(txn)
             case Wake(after):
                 reply.schedule(number, after / 1000.0)
+            case Follow():
+                reply.subscribe(number)
             case Probe(worker):
                 reply.check(number, door.worker_ids[worker])
 
@@ -113,6 +117,7 @@
     def _fleet(self, instance: Instance, now: float, record: tuple, reply: wire.Reply) -> None:
         _, form, _, sheet = record
         if form == _LIST_FAILED:
+            instance.tell(now, Unfollowed(), reply)
             return
         if form not in (_LIST_DELTA, _LIST_FULL, _LIST_CACHED):
             raise wire.Malformed(f"unknown list form {form}")
--- a/sableford/simhost/startup.py
+++ b/sableford/simhost/startup.py
@@ -68,6 +68,7 @@
     tenants: list[_Tenant] = []
     overage_earnings: float = 1.0
     weights: str = "off"
+    registry_mode: str = "automatic"
 
 
 _decoder = msgspec.json.Decoder(_Profile)
@@ -123,6 +124,7 @@
         tells_start=facts.tells_start,
         progress=facts.progress_s * 1000.0,
         live=profile.weights == "live",
+        follows=profile.registry_mode == "subscribe",
         waiting=places.get("depth", -1),
         handled=places.get("concurrent", -1),
         free_slots=meanings.get("free slots", -1),
--- a/sableford/simhost/wire.py
+++ b/sableford/simhost/wire.py
@@ -27,6 +27,7 @@
 _retract = Struct("<BIQB18x").pack
 _say_no = Struct("<BIQd11x").pack
 _end_failed = Struct("<BIQ19x").pack
+_subscribe = Struct("<BIB26x").pack
 _check = Struct("<BII23x").pack
 _fault = Struct("<BIII19x").pack
 
@@ -101,6 +102,9 @@
     def end_failed(self, inst: int, rid: int) -> None:
         self._records.append(_end_failed(18, inst, rid))
 
+    def subscribe(self, inst: int) -> None:
+        self._records.append(_subscribe(26, inst, 1))
+
     def check(self, inst: int, worker: int) -> None:
         self._records.append(_check(22, inst, worker))
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -7,7 +7,7 @@
 
     0 roster A; B since=-100 zone=1; C draining       lines of the list
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
-    9 start t1.0 | 9 move t1.0 | 9 end t1.0 settled LOAD | 9 lapse t1 | 9 sample A LOAD | 9 wait
+    9 unfollow | 9 start t1.0 | 9 move t1.0 | 9 end t1.0 settled LOAD | 9 lapse t1 | 9 sample A LOAD | 9 wait
     effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A
 """
 
@@ -23,6 +23,7 @@
     Duties,
     Ended,
     Ending,
+    Follow,
     Lapsed,
     Listed,
     Post,
@@ -39,6 +40,7 @@
     Taken,
     Tariff,
     Terms,
+    Unfollowed,
     Wake,
     Woken,
 )
@@ -105,6 +107,7 @@
                 tells_start=bool(told["tells"]),
                 progress=told["progress"],
                 live=bool(told.get("live", 0)),
+                follows=bool(told.get("follows", 0)),
                 waiting=int(told.get("line", 0)),
                 handled=-1,
                 free_slots=int(told["free"]),
@@ -160,6 +163,8 @@
             ending = Ending[rest[1].upper()]
             load = tuple(map(float, rest[2:]))
             yield Ended(*self.posting(rest[0]), ending, ending is Ending.SETTLED, load)
+        elif verb == "unfollow":
+            yield Unfollowed()
         elif verb == "lapse":
             yield Lapsed(self.index("txn", rest[0]))
         elif verb == "sample":
@@ -190,6 +195,8 @@
                     self.told.append(f"decline {txns[txn]}")
                 case Reverse(txn):
                     self.told.append(f"reverse {txns[txn]}")
+                case Follow():
+                    self.told.append("follow")
                 case Probe(worker):
                     self.told.append(f"probe {workers[worker]}")
 
