--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -52,7 +52,7 @@
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
 CROSSING_STEP = 0.25  # jobs added to a worker in another zone where crossing has a price
 UNHEARD_SLOTS = 2.0  # slots of a kind not yet heard of: the least a worker is built with
-SLACK_SLOTS = 0.25  # slots a noisy figure may be off before a worker counts as full
+SLACK_SLOTS = 0.5  # slots a noisy figure may be off before a worker counts as full
 
 # Running times and health
 RUN_PRIOR = 0.125  # of the expiry: a txn's run before any was seen; clients wait many runs long
