--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -46,6 +46,7 @@
 DRIFT = 0.5  # mean runs: decay of what an aged copy tells of the others' jobs; by then most of them are done
 KIND_MEMORY = 3000.0  # ms: decay of a kind's reports in its mean of others; a few reports of each worker
 KIND_FADE = 2000.0  # ms: decay of a kind's mean past the age limit without a report; then it is tried again
+DOUBT = 0.5  # jobs added to a copy too old to tell anything: a free slot known counts more than one assumed
 LAGS = (0.0, 150.0, 300.0, 500.0, 800.0, 1200.0, 1800.0, 2700.0, 4000.0)  # ms: how late a report may be
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 LAG_GAIN = 0.85  # of the present lag's misfit: less than this is a finding, more is chance
@@ -438,6 +439,7 @@
             room = jobs + need <= slots + SLACK_SLOTS or jobs <= SLACK_SLOTS
             index = (jobs + need) * size / (slots * worker.pace) - need
             index += crossing if worker.zone != self.terms.zone else 0.0
+            index += DOUBT * (1.0 - exp((worker.true_at - now) / self.drift))
             (indices if room else full).append((index, worker))
         if not indices:
             return self._scout(now, full)
