--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -204,10 +204,10 @@
 
 
 class Txn:
-    __slots__ = ("avoid", "limit", "origin", "out", "over", "posted", "state", "taken", "taken_at")
+    __slots__ = ("avoid", "limit", "origin", "out", "over", "posted", "state", "taken")
 
-    def __init__(self, taken: Taken, now: float, limit: float, over: bool) -> None:
-        self.taken, self.taken_at, self.limit, self.over = taken, now, limit, over
+    def __init__(self, taken: Taken, limit: float, over: bool) -> None:
+        self.taken, self.limit, self.over = taken, limit, over
         self.state = State.HELD
         self.posted = 0
         self.out: dict[int, Posting] = {}
@@ -309,7 +309,7 @@
         typical = TYPICAL * self.runs[event.scheme].mean()
         patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
         limit = min(now + patience, event.expiry - LAST_CALL)
-        txn = self.txns[event.txn] = Txn(event, now, limit, self._beyond_share(now, event.account))
+        txn = self.txns[event.txn] = Txn(event, limit, self._beyond_share(now, event.account))
         if self._wait_ahead(now, self._lane(txn)) > ADMITTED * patience:
             self._step(now, event.txn, Input.LATE)
             return
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -52,7 +52,6 @@
     """What is allowed and what it costs."""
 
     postings: int
-    copies: bool
     call_off: bool
     probes: bool
     pause: float
@@ -61,7 +60,7 @@
 
 
 class Terms(NamedTuple):
-    """Everything the core knows at start. The last five say which report figure stands where, -1 for none;
+    """Everything the core knows at start. The last four say which report figure stands where, -1 for none;
     `live` that a worker's rating falls with what it holds, `follows` that the roster must be asked for."""
 
     schedulers: int
@@ -78,4 +77,3 @@
     handled: int
     free_slots: int
     free_memory: int
-    errors: int
--- a/sableford/simhost/startup.py
+++ b/sableford/simhost/startup.py
@@ -23,7 +23,6 @@
     may_cancel: bool = False
     probes: bool = False
     retry_after: bool = False
-    second_copies: bool = False
     max_retry_after_s: float = 0.0
 
 
@@ -114,7 +113,6 @@
         ),
         tariff=Tariff(
             postings=limits.most_postings,
-            copies=limits.second_copies,
             call_off=limits.may_cancel,
             probes=limits.probes,
             pause=limits.max_retry_after_s * 1000.0 if limits.retry_after else 0.0,
@@ -129,5 +127,4 @@
         handled=places.get("concurrent", -1),
         free_slots=meanings.get("free slots", -1),
         free_memory=meanings.get("free memory", -1),
-        errors=places.get("err_ps", -1),
     )
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -97,7 +97,6 @@
                 duties=Duties(told["cold"], told["warm"], told["factor"], told["span"]),
                 tariff=Tariff(
                     int(told["postings"]),
-                    False,
                     True,
                     bool(told["probes"]),
                     told["pause"],
@@ -112,7 +111,6 @@
                 handled=-1,
                 free_slots=int(told["free"]),
                 free_memory=-1,
-                errors=-1,
             ),
             seed=7,
         )
