--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -62,7 +62,7 @@
 PACE_MEMORY = 8000.0  # ms: decay of one worker's pace; long enough for some ten finishes
 PACE_WEIGHT = 4.0  # txns that the kind's pace counts for in a worker's
 PACE_FLOOR = 0.05  # least pace: keeps the load index finite
-SLOW = 0.5  # of its kind's pace: below it a txn started at once is late all the same
+SLOW = 0.5  # of the fleet's pace: below it a txn started at once is late all the same
 FAULT_MEMORY = 10_000.0  # ms: decay of errors and of finishes beside them
 FAULT_WEIGHT = 3.0  # finishes taken for granted, so that one error alone is not a tenth
 FAULTY = 0.15  # of finishes: far over what healthy workers return, under the mildest fault worth leaving for
@@ -495,9 +495,7 @@
 
     def _sound(self, worker: Worker, txn: Txn) -> bool:
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
-        if worker.still or worker is txn.avoid:
-            return False
-        if worker.pace < SLOW * worker.kind.pace():  # of its kind: a weak kind is no row of sick workers
+        if worker.still or worker is txn.avoid or worker.pace < SLOW:
             return False
         if worker.faults > FAULTY * (worker.faults + worker.sound + FAULT_WEIGHT):
             scheme = self.terms.schemes[txn.taken.scheme]
