--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -626,10 +626,10 @@
 
     def _report(self, worker: Worker, load: tuple[float, ...], now: float) -> None:
         """Renew the copy. The same figures again are the same report, and its copy goes on ageing."""
-        if load == worker.figures:
+        terms, kind = self.terms, worker.kind
+        if load == worker.figures or len(load) <= max(terms.free_slots, terms.handled, terms.waiting):
             return
         worker.figures = load
-        terms, kind = self.terms, worker.kind
         if terms.free_slots >= 0:
             kind.slots = max(kind.slots, float(round(load[terms.free_slots])))
         if terms.handled >= 0:
