--- a/tests/helper.py
+++ b/tests/helper.py
@@ -7,7 +7,7 @@
 
     0 roster A; B since=-100 zone=1; C draining       lines of the list
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
-    9 unfollow | 9 start t1.0 | 9 move t1.0 | 9 end t1.0 settled LOAD | 9 lapse t1 | 9 sample A LOAD | 9 wait
+    9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
     effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A
 """
 
@@ -154,7 +154,7 @@
                 account, slots = int(facts.get("account", 0)), facts.get("slots", 1.0)
                 yield Taken(txn, scheme, account, expiry, slots, 0.0)
         elif verb == "start":
-            yield Started(*self.posting(rest[0]))
+            yield from (Started(*self.posting(name)) for name in rest)
         elif verb == "move":
             yield Progressed(*self.posting(rest[0]), 0.5)
         elif verb == "end":
@@ -166,7 +166,8 @@
         elif verb == "lapse":
             yield Lapsed(self.index("txn", rest[0]))
         elif verb == "sample":
-            yield Sampled(self.index("worker", rest[0]), True, tuple(map(float, rest[1:])))
+            load = tuple(map(float, rest[1:]))
+            yield from (Sampled(self.index("worker", name), True, load) for name in rest[0].split(","))
         else:
             assert verb == "wait", f"unknown step {verb}"
 
