Draw few workers by chance; keep what is out in sets; give cold workers out by turns

Cause: every event walked the whole fleet, every txn probed all aged copies, and a cold share under one txn was none.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -5,8 +5,10 @@
 """
 
 from collections import deque
+from collections.abc import Iterator
 from enum import IntEnum, auto
 from heapq import heappop, heappush
+from itertools import islice
 from math import exp
 from zlib import crc32
 
@@ -52,6 +54,13 @@
 LAG_GAIN = 0.85  # of the present lag's misfit: less than this is a finding, more is chance
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
 CROSSING_STEP = 0.25  # jobs added to a worker in another zone where crossing has a price
+WATCHERS = (
+    6.0  # schedulers to a worker: with more its copies are moved by others faster than own answers come
+)
+DRAW_LEAST = 8.0  # workers: enough of each kind, and that a third of them full or ill leaves a choice
+WIDEN = 3  # strangers looked at when the draw has no room; the next look takes others
+NEAR = 0.5  # of the draw from the own zone first, where crossing has a price; the rest evens out the zones
+EXCHANGE = 4000.0  # ms between exchanges of one drawn worker; some runs, so that the copies made are used
 UNHEARD_SLOTS = 2.0  # slots of a kind not yet heard of: the least a worker is built with
 SLACK_SLOTS = 0.5  # slots a noisy figure may be off before a worker counts as full
 
@@ -73,7 +82,8 @@
 FOLLOW_AGAIN = 500.0  # ms before the roster is asked for again, at first; well under its own lateness
 
 # Waiting and moving
-PATROL = 100.0  # ms between looks at what is held and out
+PATROL = 100.0  # ms between looks while txns are held or postings wait to start
+REST = 400.0  # ms between looks at what only runs: still a part of the least progress gap
 START_WAIT = 200.0  # ms: a start is told within a round trip; an older unstarted posting waits in line there
 STILL = 1.5  # progress gaps without news before a running posting counts as standing still
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
@@ -81,6 +91,7 @@
 FLOW_MEMORY = 4000.0  # ms: decay of the count of postings, by which the wait ahead is told
 FLOW_LEAST = 1.0  # postings in the sum at least: a lane that got none lately waits one memory for each held
 ADMITTED = 0.6  # of its patience a txn may have to wait by the flow, else it is turned away on arrival
+TOKENS = 2.0  # txns a tenant may save up beside one second of its allowance: whole txns come unevenly
 LAST_CALL = 150.0  # ms before expiry: nothing is posted or held past this; over one patrol, so none slips by
 
 # The cold rule
@@ -127,11 +138,12 @@
         self.index = index
         self.zone, self.cell, self.kind = line.zone, line.cell, kind
         self.ready, self.since = line.standing is Standing.READY, line.since
+        self.drawn = False
         self.postings: dict[tuple[int, int], Posting] = {}
         self.own = self.shown = 0.0
         self.past: deque[tuple[float, float]] = deque()
         self.running = [0] * len(kind.runs)
-        self.pushed: deque[tuple[float, float]] = deque()
+        self.pushed: deque[float] = deque()
         self.forget()
 
     def forget(self) -> None:
@@ -158,20 +170,21 @@
     def __init__(self, index: int, runs: list["Run"]) -> None:
         self.index = index
         self.slots, self.size = 0.0, 0.0
-        self.held, self.heard, self.heard_at = 0.0, 0.0, 0.0
+        self.held, self.heard, self.heard_at, self.usual = 0.0, 0.0, 0.0, 0.0
         self.runs = runs
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
 
     def pace(self) -> float:
         return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
 
-    def others(self, now: float) -> float:
+    def others(self, now: float, crowd: float) -> float:
         """Mean slots taken by others at a worker of this kind, by recent reports; below 0 if never heard of.
 
-        It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
+        It fades with silence: a kind once seen full was left alone by all schedulers and stood idle. The more
+        schedulers to a worker, the less each hears in ordinary times.
         """
-        silence = max(0.0, now - self.heard_at - AGE_LIMIT)
-        return self.held / self.heard * exp(-silence / KIND_FADE) if self.heard else -1.0
+        silence = max(0.0, now - self.heard_at - AGE_LIMIT * crowd)
+        return self.held / self.heard * exp(-silence / (KIND_FADE * crowd)) if self.heard else -1.0
 
 
 class Run:
@@ -222,19 +235,30 @@
         # Where no figure counts the waiting line, own postings in it hid the others' running ones.
         self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
         self.txns: dict[int, Txn] = {}
-        self.workers: dict[int, Worker] = {}
-        self.ring: list[Worker] = []
+        self.listed: dict[int, Listed] = {}
+        self.open: list[int] = []  # ready by the roster
+        self.near: list[int] = []  # and of the own zone
+        self.workers: dict[int, Worker] = {}  # drawn or sent to
+        self.drawn: list[Worker] = []
+        self.active: dict[int, Worker] = {}  # with own postings out
+        self.cold: dict[int, float] = {}  # ready, by their start
+        self.turns: list[Worker] = []
+        self.out, self.unstarted, self.turns_at, self.exchange_at = 0.0, 0, 0.0, 0.0
+        self.crowd = 1.0  # schedulers to a worker
+        self.chosen: Worker | None = None
         self.turn, self.scouted, self.drift = -1, 0.0, 0.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
+        self.needs = sorted({scheme.kind for scheme in terms.schemes})
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
         self.held = 0
         self.limits: list[tuple[float, int]] = []
         self.born, self.follow_at, self.refused = -1.0, 0.0, 0
         self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
-        self.tokens = [account.allowance / terms.schedulers for account in terms.accounts]
+        # A part below one txn a second found the first txn of each scheduler beyond the share.
+        self.tokens = [TOKENS + account.allowance / terms.schedulers for account in terms.accounts]
         self.token_at = [0.0] * len(terms.accounts)
-        self.patrolling = False
+        self.wake_at = 0.0
         self.handlers = {
             Taken: self._taken,
             Started: self._started,
@@ -254,10 +278,12 @@
             if self.terms.follows:
                 self.effects.append(Follow())
         self.handlers[type(event)](now, event)
-        busy = self.held or self.follow_at or any(worker.postings for worker in self.ring)
-        if busy and not self.patrolling:
-            self.patrolling = True
-            self.effects.append(Wake(PATROL))
+        if self.held or self.follow_at or self.active:
+            after = PATROL if self.held or self.unstarted or self.follow_at else REST
+            # Held while the next look was a long one away, a txn was given up only after its expiry.
+            if self.wake_at <= now or now + after < self.wake_at - PATROL / 2.0:
+                self.wake_at = now + after
+                self.effects.append(Wake(after))
         return self.effects
 
     def _chance(self, ends: int) -> int:
@@ -321,7 +347,7 @@
         if account >= len(self.tokens) or not self.terms.accounts[account].allowance:
             return False
         rate = self.terms.accounts[account].allowance / self.terms.schedulers
-        spare = min(2.0 + rate, self.tokens[account] + (now - self.token_at[account]) * rate / 1000.0)
+        spare = min(TOKENS + rate, self.tokens[account] + (now - self.token_at[account]) * rate / 1000.0)
         self.token_at[account] = now
         beyond = spare < 1.0
         self.tokens[account] = spare if beyond else spare - 1.0
@@ -381,14 +407,17 @@
         worker, need = self.chosen, self._need(txn)
         posting = Posting(worker, txn.taken.scheme, need, now)
         worker.postings[index, txn.posted] = txn.out[txn.posted] = posting
+        self.active[worker.index] = worker
+        self.unstarted += 1
+        self.out += need
         txn.posted += 1
         if txn.origin is None:
             txn.origin = posting
         worker.own += need
         if self.line_shown:
             self._show(worker, need, now)
-        if self._cold(worker, now):
-            worker.pushed.append((now, self._cost(worker, txn)))
+        if self._is_cold(worker.since, now):
+            worker.pushed.append(now)
         lane = self._lane(txn)
         lane.flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY) + 1.0
         lane.flow_at = now
@@ -412,46 +441,62 @@
         """
         if worker.others < 0.0:
             # While nothing is heard all schedulers see the same empty fleet, and filled it many times over.
-            return max(worker.own + usual, worker.own * self.terms.schedulers)
+            alike = self.out * (self.terms.schedulers - 1) / max(1, len(self.open))
+            return worker.own + max(usual, min(alike, 0.5 * max(worker.kind.slots, UNHEARD_SLOTS)))
         return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / self.drift)
 
-    def _choose(self, now: float, txn: Txn) -> Worker | None:
-        """The worker that takes the txn now, or none with room for it."""
-        need = self._need(txn)
+    def _usual(self, now: float) -> None:
+        """What is assumed of the others at each kind, and how fast copies drift to it."""
         done = sum(run.done + RUN_WEIGHT for run in self.runs)
         self.drift = DRIFT * sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs) / done
-        kinds = {kind: kind.others(now) for kind in self.kinds.values()}
-        heard = [others for others in kinds.values() if others >= 0.0]
+        heard = []
+        for kind in self.kinds.values():
+            kind.usual = kind.others(now, self.crowd)
+            if kind.usual >= 0.0:
+                heard.append(kind.usual)
         mean = sum(heard) / len(heard) if heard else 0.0
-        usual = {kind: others if others >= 0.0 else mean for kind, others in kinds.items()}
-        sizes = [max(worker.kind.slots, UNHEARD_SLOTS) * worker.pace for worker in self.ring]
+        for kind in self.kinds.values():
+            kind.usual = kind.usual if kind.usual >= 0.0 else mean
+
+    def _index(self, worker: Worker, now: float, need: float, size: float) -> tuple[float, bool]:
+        """The load index of one worker, and whether it has room."""
+        jobs = self._estimate(worker, now, worker.kind.usual)
+        slots = max(worker.kind.slots, UNHEARD_SLOTS)
+        index = (jobs + need) * size / (slots * worker.pace) - need
+        if worker.zone != self.terms.zone and self.terms.tariff.crossing:
+            index += CROSSING_STEP
+        index += DOUBT * (1.0 - exp((worker.true_at - now) / self.drift))
+        return index, jobs + need <= slots + SLACK_SLOTS or jobs <= SLACK_SLOTS
+
+    def _choose(self, now: float, txn: Txn) -> Worker | None:
+        """The worker that takes the txn now, or none with room for it."""
+        need = self._need(txn)
+        self._usual(now)
+        near = [*self.drawn, *self._turns(now)] if self.cold else self.drawn
+        sizes = [max(worker.kind.slots, UNHEARD_SLOTS) * worker.pace for worker in near]
         size = sum(sizes) / len(sizes) if sizes else 1.0
-        fit = [worker for worker in self.ring if self._allowed(worker, now, txn)]
+        fit = [worker for worker in near if self._allowed(worker, now, txn)]
         well = [worker for worker in fit if self._sound(worker, txn)]
         sound = [worker for worker in well if worker.pace >= SLOW]
         # A weak kind slower than half the fleet was left out whole; it serves when the others are full.
         weak = [worker for worker in well if SLOW * worker.kind.pace() <= worker.pace < SLOW]
-        crossing = CROSSING_STEP if self.terms.tariff.crossing else 0.0
         indices: list[tuple[float, Worker]] = []
         full: list[tuple[float, Worker]] = []
         reserve: list[tuple[float, Worker]] = []
         for worker in sound + weak or fit:
             if worker.waits:
                 continue
-            jobs = self._estimate(worker, now, usual[worker.kind])
-            slots = max(worker.kind.slots, UNHEARD_SLOTS)
-            room = jobs + need <= slots + SLACK_SLOTS or jobs <= SLACK_SLOTS
-            index = (jobs + need) * size / (slots * worker.pace) - need
-            index += crossing if worker.zone != self.terms.zone else 0.0
-            index += DOUBT * (1.0 - exp((worker.true_at - now) / self.drift))
+            index, room = self._index(worker, now, need, size)
             spare = reserve if sound and worker.pace < SLOW else indices
             (spare if room else full).append((index, worker))
+        if not indices and (stranger := self._widen(now, txn, size)):
+            return stranger
         indices = indices or reserve
         if not indices:
             return self._scout(now, full)
         lowest = min(index for index, _ in indices)
         if self.turn < 0:
-            self.turn = self._chance(len(self.ring))
+            self.turn = self._chance(len(indices))
         self.turn += 1
         index, worker = indices[self.turn % len(indices)]
         bound = IMBALANCE - UNCERTAINTY
@@ -465,20 +510,96 @@
         """One txn now and then to the least of the full copies that aged.
 
         Without it a crowd seen once was taken for one that stays: no worker had room, and with nothing posted
-        no report came to say otherwise.
+        no report came to say otherwise. Schedulers share it out: some hundred scouts a second were a storm.
         """
         old = now - AGE_LIMIT - self.lag
         aged = [pair for pair in full if pair[1].others >= 0.0 and pair[1].true_at < old]
-        if not aged or now - self.scouted < AGE_LIMIT:
+        if not aged or now - self.scouted < AGE_LIMIT * self.crowd:
             return None
         self.scouted = now
         return min(aged, key=lambda pair: pair[0])[1]
 
+    # The draw: the few workers whose copies this scheduler can keep
+
+    def _strangers(self, pool: list[int], kind: int) -> Iterator[Worker]:
+        """Warm workers outside the draw, from a random one on."""
+        start = self._chance(len(pool)) if len(self.drawn) < len(self.open) and pool else 0
+        for at in range(len(pool) if len(self.drawn) < len(self.open) else 0):
+            index = pool[(start + at) % len(pool)]
+            worker = self.workers.get(index)
+            if index not in self.cold and not (worker and worker.drawn):
+                line = self.listed[index]
+                if kind in (-1, line.kind):
+                    yield worker or self._meet(line)
+
+    def _meet(self, line: Listed) -> Worker:
+        kind = self.kinds.get(line.kind)
+        if kind is None:
+            kind = self.kinds[line.kind] = Kind(line.kind, self.runs)
+        worker = self.workers[line.worker] = Worker(line.worker, line, kind)
+        return worker
+
+    def _redraw(self, now: float) -> None:
+        """Fill the draw up: enough of each kind that some scheme needs, from the own zone first."""
+        self._drop_drawn([worker for worker in self.drawn if not worker.ready])
+        most = max(DRAW_LEAST, WATCHERS * len(self.open) / self.terms.schedulers)
+        for need in self.needs:
+            fit = [worker for worker in self.drawn if need in (-1, worker.kind.index)]
+            count, own = len(fit), sum(worker.zone == self.terms.zone for worker in fit)
+            for pool, least in ((self.near, NEAR * most - own), (self.open, most)):
+                strangers = self._strangers(pool, need)
+                while count < most and least > 0.0 and (worker := next(strangers, None)):
+                    worker.drawn = True
+                    self.drawn.append(worker)
+                    count, least = count + 1, least - 1.0
+
+    def _drop_drawn(self, out: list[Worker]) -> None:
+        for worker in out:
+            worker.drawn = False
+        if out:
+            self.drawn = [worker for worker in self.drawn if worker.drawn]
+
+    def _exchange(self, now: float) -> None:
+        """A stranger for one drawn worker now and then, and at once for one that stands still or errs."""
+        warm = [index for index, since in self.cold.items() if not self._is_cold(since, now)]
+        for index in warm:
+            del self.cold[index]
+        if warm or not self.drawn:
+            self._redraw(now)
+        if not 0 < len(self.drawn) < len(self.open):
+            return
+        ill = [worker for worker in self.drawn if worker.still or worker.misses or self._suspect(worker)]
+        if now >= self.exchange_at:
+            self.exchange_at = now + EXCHANGE * (0.5 + self._chance(1000) / 1000.0)
+            ill.append(self.drawn[self._chance(len(self.drawn))])
+        if ill:
+            self._drop_drawn(ill)
+            self._redraw(now)
+
+    def _widen(self, now: float, txn: Txn, size: float) -> Worker | None:
+        """With no room in the draw, a stranger that should have some takes the txn and one place."""
+        kind = self.terms.schemes[txn.taken.scheme].kind
+        for worker in islice(self._strangers(self.open, kind), WIDEN):
+            if worker.waits or worker.pace < SLOW:
+                continue
+            if self._allowed(worker, now, txn) and self._sound(worker, txn):
+                _, room = self._index(worker, now, self._need(txn), size)
+                if room:
+                    worker.drawn = True
+                    if self.drawn:
+                        self._drop_drawn([self.drawn[self._chance(len(self.drawn))]])
+                    self.drawn.append(worker)
+                    return worker
+        return None
+
     def _refresh(self, now: float, indices: list[tuple[float, Worker]], below: float) -> None:
         """Probe the copies that break the bound, where that is allowed."""
         if not self.terms.tariff.probes:
             return
         for index, worker in indices:
+            # Each scheduler probing as one alone may, some hundred spent more than the traffic earned.
+            if self.crowd > 1.0 and self._chance(1000) * self.crowd > 1000.0:
+                continue
             aged = now - worker.true_at > AGE_LIMIT + self.lag
             if (index < below or aged) and now - worker.probed >= AGE_LIMIT:
                 worker.probed = now
@@ -497,38 +618,68 @@
                 return False
             if scheme.scope is Scope.CELL and worker.cell != first.worker.cell:
                 return False
-        return not self._cold(worker, now) or self._budget(worker, now, txn)
+        return not self._is_cold(worker.since, now) or self._budget(worker, now, txn)
 
     def _sound(self, worker: Worker, txn: Txn) -> bool:
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
         if worker.still or worker is txn.avoid:
             return False
-        if worker.faults > FAULTY * (worker.faults + worker.sound + FAULT_WEIGHT):
+        if self._suspect(worker):
             scheme = self.terms.schemes[txn.taken.scheme]
             return scheme.repeats is not Repeats.ONCE_ONLY and not worker.postings and txn.posted == 0
         return True
 
+    def _suspect(self, worker: Worker) -> bool:
+        return worker.faults > FAULTY * (worker.faults + worker.sound + FAULT_WEIGHT)
+
     # The cold rule
 
-    def _cold(self, worker: Worker, now: float) -> bool:
-        span = self.terms.duties.warm_within + self.terms.duties.push_span
-        return worker.since > 0.0 and now - worker.since < span
+    def _is_cold(self, since: float, now: float) -> bool:
+        return since > 0.0 and now - since < self.terms.duties.warm_within + self.terms.duties.push_span
 
     def _cost(self, worker: Worker, txn: Txn) -> float:
         return self.runs[txn.taken.scheme].mean() / worker.kind.pace() * max(1.0, txn.taken.slots)
 
     def _budget(self, worker: Worker, now: float, txn: Txn) -> bool:
-        """Whether the own share of what a cold worker bears in any one span still holds this txn."""
+        """Whether this scheduler's turns at a cold worker still hold this txn.
+
+        Time since the worker's start, which all are told alike, is cut into spans; what it bears in any two
+        of them is given out in whole txns, in an order that differs by worker and span. One part in the
+        number of schedulers was less than one txn for each, and left cold workers idle.
+        """
         duties = self.terms.duties
         if now - self.born < duties.push_span:  # what a scheduler killed just now sent is not known here
             return False
-        while worker.pushed and worker.pushed[0][0] < now - duties.push_span:
+        while worker.pushed and worker.pushed[0] < now - duties.push_span:
             worker.pushed.popleft()
-        age = max(0.0, now - worker.since - duties.push_span)
+        span = int(max(0.0, now - worker.since) // duties.push_span)
+        quota = self._quota(worker, span, self._cost(worker, txn))
+        start = worker.since + span * duties.push_span
+        return sum(at >= start for at in worker.pushed) < quota
+
+    def _quota(self, worker: Worker, span: int, cost: float) -> int:
+        """Txns of that cost which this scheduler may send in the given span since the worker's start."""
+        duties, all_ = self.terms.duties, self.terms.schedulers
+        age = max(0, span - 1) * duties.push_span
         bears = min(1.0, duties.cold_share + (1.0 - duties.cold_share) * age / duties.warm_within)
         slots = max(worker.kind.slots, UNHEARD_SLOTS)
-        share = COLD_MARGIN * duties.push_factor * bears * slots * duties.push_span / self.terms.schedulers
-        return sum(cost for _, cost in worker.pushed) + self._cost(worker, txn) <= share
+        total = COLD_MARGIN * duties.push_factor * bears * slots * duties.push_span / 2.0
+        mean = sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs)
+        mean /= sum(run.done + RUN_WEIGHT for run in self.runs)
+        turns = int(total / max(cost, mean / worker.kind.pace()))
+        rank = (self.terms.position + crc32(b"%d:%d" % (worker.since, span))) % all_
+        return (turns + all_ - 1 - rank) // all_
+
+    def _turns(self, now: float) -> list[Worker]:
+        """Cold workers outside the draw at which this scheduler may have a turn now."""
+        if now - self.turns_at >= PATROL:
+            self.turns_at, self.turns = now, []
+            for index, since in self.cold.items():
+                worker = self.workers.get(index) or self._meet(self.listed[index])
+                span = int(max(0.0, now - since) // self.terms.duties.push_span)
+                if self._quota(worker, span, 0.0):
+                    self.turns.append(worker)
+        return [worker for worker in self.turns if worker.ready and not worker.drawn]
 
     # News of postings
 
@@ -540,6 +691,7 @@
         self._measure(worker, now)
         if not posting.started:
             posting.started = True
+            self.unstarted -= 1
             worker.running[posting.scheme] += 1
             if not self.line_shown:
                 self._show(worker, posting.need, now)
@@ -566,6 +718,11 @@
             return
         worker = posting.worker
         worker.postings.pop((event.txn, event.posting), None)
+        if not worker.postings:
+            worker.still = False
+            self.active.pop(worker.index, None)
+        self.unstarted -= not posting.started
+        self.out = max(0.0, self.out - posting.need)
         self._measure(worker, now)
         self._judge(worker, posting, event.ending, now)
         worker.own = max(0.0, worker.own - posting.need)
@@ -700,21 +857,23 @@
         )
 
     def _patrol(self, now: float, event: Woken) -> None:
-        self.patrolling = False
         if self.follow_at and now >= self.follow_at:
             self.follow_at = 0.0
             self.effects.append(Follow())
         patience = self.terms.progress * STILL + STILL_SLACK
-        for worker in self.workers.values():
+        for worker in self.drawn:
             self._measure(worker, now)
             self._look(worker, now)
-            if not worker.postings:
-                worker.still = False
+        for worker in self.active.values():
+            if not worker.drawn:
+                self._measure(worker, now)
+                self._look(worker, now)
             for posting in worker.postings.values():
                 if posting.started and self.terms.progress and now - posting.news > patience:
                     worker.still = True
+        self._exchange(now)
         if self.terms.tariff.call_off:
-            for worker in self.ring:
+            for worker in list(self.active.values()):
                 if worker.waits or worker.still:
                     self._move(worker, now)
         self._pump(now)
@@ -744,27 +903,34 @@
 
     def _unfollowed(self, now: float, event: Unfollowed) -> None:
         """Ask again after a pause that doubles, drawn by chance so that schedulers don't all call at once."""
-        pause = FOLLOW_AGAIN * 2.0 ** min(self.refused, 3)
+        pause = FOLLOW_AGAIN * self.crowd * 2.0 ** min(self.refused, 3)
         self.refused += 1
         self.follow_at = now + pause * (1.0 + self._chance(1000) / 1000.0)
 
     def _roster(self, now: float, event: Roster) -> None:
         self.refused = 0
         for line in event.lines:
+            if line.standing is Standing.GONE:
+                self.listed.pop(line.worker, None)
+            else:
+                self.listed[line.worker] = line
             worker = self.workers.get(line.worker)
-            kind = self.kinds.get(line.kind)
-            if kind is None:
-                kind = self.kinds[line.kind] = Kind(line.kind, self.runs)
-            if worker is None:
-                worker = self.workers[line.worker] = Worker(line.worker, line, kind)
-                worker.touched = now
-            elif line.since != worker.since:
-                worker.forget()
-                worker.touched = now
-            worker.ready, worker.since = line.standing is Standing.READY, line.since
-            if self.terms.live and line.rating > 0.0:
-                self._weigh(worker, line.rating, now)
-        self.ring = [self.workers[index] for index in sorted(self.workers)]
+            if worker is not None:
+                if line.since != worker.since:
+                    worker.forget()
+                    worker.touched = now
+                worker.ready, worker.since = line.standing is Standing.READY, line.since
+        if event.lines:
+            ready = [line for line in self.listed.values() if line.standing is Standing.READY]
+            self.open = [line.worker for line in ready]
+            self.near = [line.worker for line in ready if line.zone == self.terms.zone]
+            self.cold = {new.worker: new.since for new in ready if self._is_cold(new.since, now)}
+            self.crowd = max(1.0, self.terms.schedulers / max(1, len(ready)))
+            self._redraw(now)
+        if self.terms.live:
+            for worker in self.drawn:
+                if (rating := event.rating(worker.index)) > 0.0:
+                    self._weigh(worker, rating, now)
         self._pump(now)
 
     def _weigh(self, worker: Worker, rating: float, now: float) -> None:
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -1,5 +1,6 @@
 """What the core is told. Times are milliseconds; txns and workers are small indices given at the door."""
 
+from collections.abc import Callable
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -90,14 +91,15 @@
     kind: int
     cell: int
     standing: Standing
-    rating: float
     since: float
 
 
 class Roster(NamedTuple):
-    """Lines that are new or changed; a worker left out of a complete list comes as GONE."""
+    """Lines that are new or changed; a worker left out of a complete list comes as GONE. `rating` tells what
+    the list now says of one worker's weight, 0 where nothing."""
 
     lines: tuple[Listed, ...]
+    rating: Callable[[int], float]
 
 
 class Unfollowed(NamedTuple):
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -64,6 +64,7 @@
     `live` that a worker's rating falls with what it holds, `follows` that the roster must be asked for."""
 
     schedulers: int
+    position: int
     zone: int
     schemes: tuple[Scheme, ...]
     accounts: tuple[Account, ...]
--- a/sableford/simhost/__main__.py
+++ b/sableford/simhost/__main__.py
@@ -23,7 +23,7 @@
     Woken,
 )
 from sableford.simhost import wire
-from sableford.simhost.door import Door
+from sableford.simhost.door import Door, Sheet
 from sableford.simhost.startup import read_terms
 
 _LIST_DELTA, _LIST_FULL, _LIST_CACHED, _LIST_FAILED = range(4)
@@ -69,7 +69,7 @@
 
     def __init__(self) -> None:
         self._instances: dict[int, Instance] = {}
-        self._sheets: dict[int, list[tuple]] = {}
+        self._sheets: dict[int, Sheet] = {}
 
     def answer(self, frame: wire.Frame) -> bytes:
         reply = wire.Reply()
@@ -85,7 +85,7 @@
         body, code = frame.body, frame.body[at]
         if code == wire.INVENTORY:
             sheet, offset, count = wire.inventory(body, at + 1)
-            self._sheets[sheet] = frame.entries(offset, count)
+            self._sheets[sheet] = Sheet(frame.entries(offset, count))
             return None
         (number,) = wire.instance(body, at + 1)
         try:
