--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -95,6 +95,7 @@
 LAST_CALL = 150.0  # ms before expiry: nothing is posted or held past this; over one patrol, so none slips by
 
 # The cold rule
+STRIDE = 7919  # schedulers the turns move on by from span to span: a prime, so that all come round
 COLD_MARGIN = 0.7  # of the own share: slots may outnumber cores, runs differ from their mean
 
 
@@ -143,6 +144,7 @@
         self.own = self.shown = 0.0
         self.past: deque[tuple[float, float]] = deque()
         self.running = [0] * len(kind.runs)
+        self.order = crc32(b"%d" % line.since)
         self.pushed: deque[float] = deque()
         self.forget()
 
@@ -236,17 +238,18 @@
         self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
         self.txns: dict[int, Txn] = {}
         self.listed: dict[int, Listed] = {}
-        self.open: list[int] = []  # ready by the roster
+        self.open: list[int] = []  # ready by the roster, and warm
         self.near: list[int] = []  # and of the own zone
         self.workers: dict[int, Worker] = {}  # drawn or sent to
         self.drawn: list[Worker] = []
         self.active: dict[int, Worker] = {}  # with own postings out
         self.cold: dict[int, float] = {}  # ready, by their start
+        self.warming: list[tuple[float, int]] = []
         self.turns: list[Worker] = []
         self.out, self.unstarted, self.turns_at, self.exchange_at = 0.0, 0, 0.0, 0.0
         self.crowd = 1.0  # schedulers to a worker
         self.chosen: Worker | None = None
-        self.turn, self.scouted, self.drift = -1, 0.0, 0.0
+        self.turn, self.scouted, self.drift = -1, 0.0, DRIFT
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
         self.needs = sorted({scheme.kind for scheme in terms.schemes})
@@ -527,22 +530,27 @@
         for at in range(len(pool) if len(self.drawn) < len(self.open) else 0):
             index = pool[(start + at) % len(pool)]
             worker = self.workers.get(index)
-            if index not in self.cold and not (worker and worker.drawn):
+            if not (worker and worker.drawn):
                 line = self.listed[index]
                 if kind in (-1, line.kind):
                     yield worker or self._meet(line)
 
     def _meet(self, line: Listed) -> Worker:
-        kind = self.kinds.get(line.kind)
-        if kind is None:
-            kind = self.kinds[line.kind] = Kind(line.kind, self.runs)
-        worker = self.workers[line.worker] = Worker(line.worker, line, kind)
+        worker = self.workers[line.worker] = Worker(line.worker, line, self.kinds[line.kind])
         return worker
 
+    def _warm(self, line: Listed) -> None:
+        self.open.append(line.worker)
+        if line.zone == self.terms.zone:
+            self.near.append(line.worker)
+
+    def _most(self) -> float:
+        return max(DRAW_LEAST, WATCHERS * len(self.open) / self.terms.schedulers)
+
     def _redraw(self, now: float) -> None:
         """Fill the draw up: enough of each kind that some scheme needs, from the own zone first."""
-        self._drop_drawn([worker for worker in self.drawn if not worker.ready])
-        most = max(DRAW_LEAST, WATCHERS * len(self.open) / self.terms.schedulers)
+        self._drop_drawn([worker for worker in self.drawn if not worker.ready or worker.index in self.cold])
+        most = self._most()
         for need in self.needs:
             fit = [worker for worker in self.drawn if need in (-1, worker.kind.index)]
             count, own = len(fit), sum(worker.zone == self.terms.zone for worker in fit)
@@ -561,10 +569,12 @@
 
     def _exchange(self, now: float) -> None:
         """A stranger for one drawn worker now and then, and at once for one that stands still or errs."""
-        warm = [index for index, since in self.cold.items() if not self._is_cold(since, now)]
-        for index in warm:
-            del self.cold[index]
-        if warm or not self.drawn:
+        while self.warming and not self._is_cold(self.warming[0][0], now):
+            since, index = heappop(self.warming)
+            if self.cold.get(index) == since:
+                del self.cold[index]
+                self._warm(self.listed[index])
+        if len(self.drawn) < min(len(self.open), self._most()):
             self._redraw(now)
         if not 0 < len(self.drawn) < len(self.open):
             return
@@ -662,23 +672,34 @@
         duties, all_ = self.terms.duties, self.terms.schedulers
         age = max(0, span - 1) * duties.push_span
         bears = min(1.0, duties.cold_share + (1.0 - duties.cold_share) * age / duties.warm_within)
-        slots = max(worker.kind.slots, UNHEARD_SLOTS)
-        total = COLD_MARGIN * duties.push_factor * bears * slots * duties.push_span / 2.0
-        mean = sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs)
-        mean /= sum(run.done + RUN_WEIGHT for run in self.runs)
-        turns = int(total / max(cost, mean / worker.kind.pace()))
-        rank = (self.terms.position + crc32(b"%d:%d" % (worker.since, span))) % all_
+        turns = self._turns_in(worker.kind, bears, cost)
+        rank = (self.terms.position + worker.order + span * STRIDE) % all_
         return (turns + all_ - 1 - rank) // all_
 
+    def _turns_in(self, kind: Kind, bears: float, cost: float) -> int:
+        """Whole txns, over all schedulers, in one span of a worker at that part of its capacity."""
+        duties, slots = self.terms.duties, max(kind.slots, UNHEARD_SLOTS)
+        total = COLD_MARGIN * duties.push_factor * bears * slots * duties.push_span / 2.0
+        return int(total / max(cost, self.drift / DRIFT / kind.pace()))
+
     def _turns(self, now: float) -> list[Worker]:
         """Cold workers outside the draw at which this scheduler may have a turn now."""
-        if now - self.turns_at >= PATROL:
-            self.turns_at, self.turns = now, []
-            for index, since in self.cold.items():
-                worker = self.workers.get(index) or self._meet(self.listed[index])
-                span = int(max(0.0, now - since) // self.terms.duties.push_span)
-                if self._quota(worker, span, 0.0):
-                    self.turns.append(worker)
+        if now - self.turns_at >= REST:
+            duties, all_ = self.terms.duties, self.terms.schedulers
+            most = max((self._turns_in(kind, 1.0, 0.0) for kind in self.kinds.values()), default=0)
+            here = [
+                index
+                for index, since in self.cold.items()
+                if (
+                    self.terms.position
+                    + crc32(b"%d" % since)
+                    + int((now - since) // duties.push_span) * STRIDE
+                )
+                % all_
+                < most
+            ]
+            self.turns_at = now
+            self.turns = [self.workers.get(index) or self._meet(self.listed[index]) for index in here]
         return [worker for worker in self.turns if worker.ready and not worker.drawn]
 
     # News of postings
@@ -910,6 +931,8 @@
     def _roster(self, now: float, event: Roster) -> None:
         self.refused = 0
         for line in event.lines:
+            if line.kind not in self.kinds:
+                self.kinds[line.kind] = Kind(line.kind, self.runs)
             if line.standing is Standing.GONE:
                 self.listed.pop(line.worker, None)
             else:
@@ -920,11 +943,15 @@
                     worker.forget()
                     worker.touched = now
                 worker.ready, worker.since = line.standing is Standing.READY, line.since
+                worker.order = crc32(b"%d" % line.since)
         if event.lines:
             ready = [line for line in self.listed.values() if line.standing is Standing.READY]
-            self.open = [line.worker for line in ready]
-            self.near = [line.worker for line in ready if line.zone == self.terms.zone]
             self.cold = {new.worker: new.since for new in ready if self._is_cold(new.since, now)}
+            self.warming = sorted((since, index) for index, since in self.cold.items())
+            self.open, self.near = [], []
+            for line in ready:
+                if line.worker not in self.cold:
+                    self._warm(line)
             self.crowd = max(1.0, self.terms.schedulers / max(1, len(ready)))
             self._redraw(now)
         if self.terms.live:
