--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -179,14 +179,13 @@
     def pace(self) -> float:
         return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
 
-    def others(self, now: float, crowd: float) -> float:
+    def others(self, now: float) -> float:
         """Mean slots taken by others at a worker of this kind, by recent reports; below 0 if never heard of.
 
-        It fades with silence: a kind once seen full was left alone by all schedulers and stood idle. The more
-        schedulers to a worker, the less each hears in ordinary times.
+        It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
         """
-        silence = max(0.0, now - self.heard_at - AGE_LIMIT * crowd)
-        return self.held / self.heard * exp(-silence / (KIND_FADE * crowd)) if self.heard else -1.0
+        silence = max(0.0, now - self.heard_at - AGE_LIMIT)
+        return self.held / self.heard * exp(-silence / KIND_FADE) if self.heard else -1.0
 
 
 class Run:
@@ -454,7 +453,7 @@
         self.drift = DRIFT * sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs) / done
         heard = []
         for kind in self.kinds.values():
-            kind.usual = kind.others(now, self.crowd)
+            kind.usual = kind.others(now)
             if kind.usual >= 0.0:
                 heard.append(kind.usual)
         mean = sum(heard) / len(heard) if heard else 0.0
