Take a wake-up that comes a rounding early for the one asked for

Cause: after rounding on the way a wake-up came just under the time noted, no next one was asked for, and looks stopped.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -283,7 +283,8 @@
         if self.held or self.follow_at or self.active:
             after = PATROL if self.held or self.unstarted or self.follow_at else REST
             # Held while the next look was a long one away, a txn was given up only after its expiry.
-            if self.wake_at <= now or now + after < self.wake_at - PATROL / 2.0:
+            # A wake-up may come a rounding early: taken for another one, it left no next one asked for.
+            if self.wake_at <= now + 1.0 or now + after < self.wake_at - PATROL / 2.0:
                 self.wake_at = now + after
                 self.effects.append(Wake(after))
         return self.effects
