--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -88,6 +88,9 @@
 STILL = 1.5  # progress gaps without news before a running posting counts as standing still
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
 TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
+HOPE = (
+    1.0  # mean runs: one that has not begun by its SLA time for such a run is called off; most are late then
+)
 FLOW_MEMORY = 4000.0  # ms: decay of the count of postings, by which the wait ahead is told
 FLOW_LEAST = 1.0  # postings in the sum at least: a lane that got none lately waits one memory for each held
 ADMITTED = 0.6  # of its patience a txn may have to wait by the flow, else it is turned away on arrival
@@ -218,10 +221,11 @@
 
 
 class Txn:
-    __slots__ = ("avoid", "limit", "origin", "out", "over", "posted", "state", "taken")
+    __slots__ = ("avoid", "hopeless", "limit", "origin", "out", "over", "posted", "state", "taken")
 
     def __init__(self, taken: Taken, limit: float, over: bool) -> None:
         self.taken, self.limit, self.over = taken, limit, over
+        self.hopeless = limit
         self.state = State.HELD
         self.posted = 0
         self.out: dict[int, Posting] = {}
@@ -331,6 +335,11 @@
                 txn.avoid = posting.worker
                 self.effects.append(CallOff(index, number))
 
+    def _abandon(self, now: float, index: int, txn: Txn) -> None:
+        """What waits in some line past all hope: called off, so that what comes behind it is in time."""
+        self._call_off(now, index, txn)
+        self._answer(now, index, txn)
+
     # Txns coming in, waiting and going out
 
     def _taken(self, now: float, event: Taken) -> None:
@@ -339,6 +348,7 @@
         patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
         limit = min(now + patience, event.expiry - LAST_CALL)
         txn = self.txns[event.txn] = Txn(event, limit, self._beyond_share(now, event.account))
+        txn.hopeless = now + scheme.sla + max(0.0, scheme.stretch - 1.0) * HOPE * typical / TYPICAL
         if self._wait_ahead(now, self._lane(txn)) > ADMITTED * patience:
             self._step(now, event.txn, Input.LATE)
             return
@@ -881,7 +891,8 @@
         if self.follow_at and now >= self.follow_at:
             self.follow_at = 0.0
             self.effects.append(Follow())
-        patience = self.terms.progress * STILL + STILL_SLACK
+        patience = self.terms.progress * (STILL - 1.0) + STILL_SLACK
+        late: list[int] = []
         for worker in self.drawn:
             self._measure(worker, now)
             self._look(worker, now)
@@ -889,9 +900,15 @@
             if not worker.drawn:
                 self._measure(worker, now)
                 self._look(worker, now)
-            for posting in worker.postings.values():
-                if posting.started and self.terms.progress and now - posting.news > patience:
-                    worker.still = True
+            for (index, _), posting in worker.postings.items():
+                if posting.started:
+                    worker.still |= 0.0 < self.terms.progress < now - posting.news - patience
+                # Lines of txns too late to earn anything grew until nothing in them was in time.
+                elif self.terms.tells_start and now > self.txns[index].hopeless and not posting.called_off:
+                    late.append(index)
+        if self.terms.tariff.call_off:
+            for index in late:
+                self._step(now, index, Input.LATE)
         self._exchange(now)
         if self.terms.tariff.call_off:
             for worker in list(self.active.values()):
@@ -973,6 +990,7 @@
     (State.HELD, Input.ROOM): (State.OUT, Scheduler._post),
     (State.HELD, Input.LATE): (State.OVER, Scheduler._answer),
     (State.HELD, Input.LAPSED): (State.OVER, Scheduler._drop),
+    (State.OUT, Input.LATE): (State.OVER, Scheduler._abandon),
     (State.OUT, Input.STALLED): (State.OUT, Scheduler._call_off),
     (State.OUT, Input.NEVER_RAN): (State.HELD, Scheduler._again),
     (State.OUT, Input.MAY_HAVE_RUN): (State.HELD, Scheduler._again),
