--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -88,9 +88,7 @@
 STILL = 1.5  # progress gaps without news before a running posting counts as standing still
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
 TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
-HOPE = (
-    1.0  # mean runs: one that has not begun by its SLA time for such a run is called off; most are late then
-)
+HOPE = 2.0  # mean runs: not begun by the SLA time of such a run, a txn is called off; most are late then
 FLOW_MEMORY = 4000.0  # ms: decay of the count of postings, by which the wait ahead is told
 FLOW_LEAST = 1.0  # postings in the sum at least: a lane that got none lately waits one memory for each held
 ADMITTED = 0.6  # of its patience a txn may have to wait by the flow, else it is turned away on arrival
