--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -223,7 +223,7 @@
 
     def __init__(self, taken: Taken, limit: float, over: bool) -> None:
         self.taken, self.limit, self.over = taken, limit, over
-        self.hopeless = limit
+        self.hopeless = taken.expiry
         self.state = State.HELD
         self.posted = 0
         self.out: dict[int, Posting] = {}
@@ -346,7 +346,9 @@
         patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
         limit = min(now + patience, event.expiry - LAST_CALL)
         txn = self.txns[event.txn] = Txn(event, limit, self._beyond_share(now, event.account))
-        txn.hopeless = now + scheme.sla + max(0.0, scheme.stretch - 1.0) * HOPE * typical / TYPICAL
+        # Of others the clients come back at once, and where a call-off drops nothing each ran several times.
+        if self.terms.tells_start and scheme.repeats is Repeats.ONCE_ONLY:
+            txn.hopeless = now + scheme.sla + max(0.0, scheme.stretch - 1.0) * HOPE * typical / TYPICAL
         if self._wait_ahead(now, self._lane(txn)) > ADMITTED * patience:
             self._step(now, event.txn, Input.LATE)
             return
@@ -902,7 +904,7 @@
                 if posting.started:
                     worker.still |= 0.0 < self.terms.progress < now - posting.news - patience
                 # Lines of txns too late to earn anything grew until nothing in them was in time.
-                elif self.terms.tells_start and now > self.txns[index].hopeless and not posting.called_off:
+                elif now > self.txns[index].hopeless and not posting.called_off:
                     late.append(index)
         if self.terms.tariff.call_off:
             for index in late:
