--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -84,7 +84,7 @@
 # Waiting and moving
 PATROL = 100.0  # ms between looks while txns are held or postings wait to start
 REST = 400.0  # ms between looks at what only runs: still a part of the least progress gap
-START_WAIT = 200.0  # ms: a start is told within a round trip; an older unstarted posting waits in line there
+START_WAIT = 80.0  # ms: a start is told within a round trip; an older unstarted posting waits in line there
 STILL = 1.5  # progress gaps without news before a running posting counts as standing still
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
 TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
