--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -85,6 +85,9 @@
 PATROL = 100.0  # ms between looks while txns are held or postings wait to start
 REST = 400.0  # ms between looks at what only runs: still a part of the least progress gap
 START_WAIT = 80.0  # ms: a start is told within a round trip; an older unstarted posting waits in line there
+MOVE_MEMORY = 4000.0  # ms: decay of the count of moves
+MOVE_WEIGHT = 2.0  # moves taken for landed, so that one in vain is not yet a finding
+LANDING = 0.6  # of the moves must begin at once: with fewer all lines are full
 STILL = 1.5  # progress gaps without news before a running posting counts as standing still
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
 TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
@@ -219,11 +222,12 @@
 
 
 class Txn:
-    __slots__ = ("avoid", "hopeless", "limit", "origin", "out", "over", "posted", "state", "taken")
+    __slots__ = ("avoid", "hopeless", "limit", "moved", "origin", "out", "over", "posted", "state", "taken")
 
     def __init__(self, taken: Taken, limit: float, over: bool) -> None:
         self.taken, self.limit, self.over = taken, limit, over
         self.hopeless = taken.expiry
+        self.moved = False
         self.state = State.HELD
         self.posted = 0
         self.out: dict[int, Posting] = {}
@@ -263,6 +267,7 @@
         self.tokens = [TOKENS + account.allowance / terms.schedulers for account in terms.accounts]
         self.token_at = [0.0] * len(terms.accounts)
         self.wake_at = 0.0
+        self.moves, self.landed, self.moves_at = 0.0, 0.0, 0.0
         self.handlers = {
             Taken: self._taken,
             Started: self._started,
@@ -327,6 +332,7 @@
         return None
 
     def _call_off(self, now: float, index: int, txn: Txn) -> None:
+        txn.moved = True
         for number, posting in txn.out.items():
             if not posting.called_off:
                 posting.called_off = True
@@ -422,6 +428,9 @@
         worker.postings[index, txn.posted] = txn.out[txn.posted] = posting
         self.active[worker.index] = worker
         self.unstarted += 1
+        if txn.moved:
+            self._faded_moves(now)
+            self.moves += 1.0
         self.out += need
         txn.posted += 1
         if txn.origin is None:
@@ -723,6 +732,9 @@
         if not posting.started:
             posting.started = True
             self.unstarted -= 1
+            if self.txns[event.txn].moved and now - posting.sent <= START_WAIT:
+                self._faded_moves(now)
+                self.landed += 1.0
             worker.running[posting.scheme] += 1
             if not self.line_shown:
                 self._show(worker, posting.need, now)
@@ -918,10 +930,12 @@
 
     def _move(self, worker: Worker, now: float) -> None:
         """Call off what stands in line or still there, where it may go again and another has room now."""
+        # Where a call-off drops nothing, moves from line to line made each txn run several times.
+        vain = self.landed + MOVE_WEIGHT < LANDING * (self.moves + MOVE_WEIGHT)
         for (index, _), posting in list(worker.postings.items()):
             txn = self.txns[index]
             scheme = self.terms.schemes[txn.taken.scheme]
-            idle = worker.still if posting.started else now - posting.sent > START_WAIT
+            idle = worker.still if posting.started else not vain and now - posting.sent > START_WAIT
             if (
                 not idle
                 or posting.called_off
@@ -937,6 +951,10 @@
             if other is not None and other is not worker:
                 self._step(now, index, Input.STALLED)
 
+    def _faded_moves(self, now: float) -> None:
+        fade = exp((self.moves_at - now) / MOVE_MEMORY)
+        self.moves, self.landed, self.moves_at = self.moves * fade, self.landed * fade, now
+
     # The roster
 
     def _unfollowed(self, now: float, event: Unfollowed) -> None:
