--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -85,9 +85,9 @@
 PATROL = 100.0  # ms between looks while txns are held or postings wait to start
 REST = 400.0  # ms between looks at what only runs: still a part of the least progress gap
 START_WAIT = 80.0  # ms: a start is told within a round trip; an older unstarted posting waits in line there
-MOVE_MEMORY = 3000.0  # ms: decay of the count of moves
-MOVE_WEIGHT = 8.0  # moves taken for landed, so that one in vain is not yet a finding
-LANDING = 0.5  # of the moves must begin at once: with fewer all lines are full
+MOVE_MEMORY = 4000.0  # ms: decay of the count of moves
+MOVE_WEIGHT = 4.0  # moves taken for landed, so that one in vain is not yet a finding
+LANDING = 0.6  # of the moves must begin at once: with fewer all lines are full
 STILL = 1.5  # progress gaps without news before a running posting counts as standing still
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
 TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
@@ -941,7 +941,7 @@
                 or posting.called_off
                 or txn.state is not State.OUT
                 or scheme.repeats is Repeats.ONCE_ONLY
-                or txn.posted >= self.terms.tariff.postings
+                or txn.posted >= self.terms.tariff.postings - (not posting.started)
                 or now >= txn.limit
             ):
                 continue
