--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -6,40 +6,15 @@
 
 from collections import deque
 from collections.abc import Iterator
-from enum import IntEnum, auto
+from enum import IntEnum
 from heapq import heappop, heappush
 from itertools import islice
 from math import exp
 from zlib import crc32
 
-from sableford.model import (
-    CallOff,
-    Decline,
-    Effect,
-    Ended,
-    Ending,
-    Event,
-    Follow,
-    Lapsed,
-    Listed,
-    Post,
-    Probe,
-    Progressed,
-    Repeats,
-    Reverse,
-    Roster,
-    Sampled,
-    Scheme,
-    Scope,
-    Standing,
-    Started,
-    Taken,
-    Terms,
-    Unfollowed,
-    Wake,
-    Woken,
-)
-from sableford.model.events import NEVER_RAN
+from sableford.model import Repeats, Scheme, Scope, Terms, events
+from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
+from sableford.model.events import NEVER_RAN, Ended, Ending, Event, Listed, Roster, Standing, Started, Taken
 
 # The mechanism
 IMBALANCE = 1.5  # jobs, D: a slot is lost or a wait begun when two workers differ by more than about this
@@ -103,27 +78,9 @@
 COLD_MARGIN = 0.7  # of the own share: slots may outnumber cores, runs differ from their mean
 
 
-class State(IntEnum):
-    HELD = auto()
-    OUT = auto()
-    OVER = auto()
-
-
-class Input(IntEnum):
-    ROOM = auto()
-    LATE = auto()
-    STALLED = auto()
-    NEVER_RAN = auto()
-    MAY_HAVE_RUN = auto()
-    SETTLED = auto()
-    LAPSED = auto()
-
-
-class Again(IntEnum):
-    ANYWHERE = auto()
-    IN_GROUP = auto()
-    NOWHERE = auto()
-
+State = IntEnum("State", "HELD OUT OVER")
+Input = IntEnum("Input", "ROOM LATE STALLED NEVER_RAN MAY_HAVE_RUN SETTLED LAPSED")
+Again = IntEnum("Again", "ANYWHERE IN_GROUP NOWHERE")
 
 # (scheme's repeats, may an earlier posting have run) -> where it may go again, may it be declined
 PERMITS = {
@@ -271,13 +228,13 @@
         self.handlers = {
             Taken: self._taken,
             Started: self._started,
-            Progressed: self._progressed,
+            events.Progressed: self._progressed,
             Ended: self._ended,
-            Lapsed: self._lapsed,
-            Woken: self._patrol,
-            Sampled: self._sampled,
+            events.Lapsed: self._lapsed,
+            events.Woken: self._patrol,
+            events.Sampled: self._sampled,
             Roster: self._roster,
-            Unfollowed: self._unfollowed,
+            events.Unfollowed: self._unfollowed,
         }
 
     def handle(self, now: float, event: Event) -> list[Effect]:
@@ -532,11 +489,12 @@
         """One txn now and then to the least of the full copies that aged.
 
         Without it a crowd seen once was taken for one that stays: no worker had room, and with nothing posted
-        no report came to say otherwise. Schedulers share it out: some hundred scouts a second were a storm.
+        no report came to say otherwise. Strangers serve as well, and some hundred scouts a second were a storm:
+        it acts where all workers are drawn, shared out by the number of schedulers.
         """
         old = now - AGE_LIMIT - self.lag
         aged = [pair for pair in full if pair[1].others >= 0.0 and pair[1].true_at < old]
-        if not aged or now - self.scouted < AGE_LIMIT * self.crowd:
+        if not aged or len(self.drawn) < len(self.open) or now - self.scouted < AGE_LIMIT * self.crowd:
             return None
         self.scouted = now
         return min(aged, key=lambda pair: pair[0])[1]
@@ -744,7 +702,7 @@
         worker.kind.slots = max(worker.kind.slots, float(int(busy)))
         self._look(worker, now)
 
-    def _progressed(self, now: float, event: Progressed) -> None:
+    def _progressed(self, now: float, event: events.Progressed) -> None:
         posting = self._posting(event.txn, event.posting)
         if posting is not None:
             posting.news = now
@@ -875,7 +833,7 @@
         if self.misfit[best] < LAG_GAIN * self.misfit[LAGS.index(self.lag)]:
             self.lag = LAGS[best]
 
-    def _sampled(self, now: float, event: Sampled) -> None:
+    def _sampled(self, now: float, event: events.Sampled) -> None:
         worker = self.workers.get(event.worker)
         if worker is None:
             return
@@ -883,7 +841,7 @@
             self._report(worker, event.load, now)
         self._pump(now)
 
-    def _lapsed(self, now: float, event: Lapsed) -> None:
+    def _lapsed(self, now: float, event: events.Lapsed) -> None:
         txn = self.txns.get(event.txn)
         if txn is None:
             return
@@ -899,7 +857,7 @@
             not posting.started and now - posting.sent > START_WAIT for posting in worker.postings.values()
         )
 
-    def _patrol(self, now: float, event: Woken) -> None:
+    def _patrol(self, now: float, event: events.Woken) -> None:
         if self.follow_at and now >= self.follow_at:
             self.follow_at = 0.0
             self.effects.append(Follow())
@@ -957,7 +915,7 @@
 
     # The roster
 
-    def _unfollowed(self, now: float, event: Unfollowed) -> None:
+    def _unfollowed(self, now: float, event: events.Unfollowed) -> None:
         """Ask again after a pause that doubles, drawn by chance so that schedulers don't all call at once."""
         pause = FOLLOW_AGAIN * self.crowd * 2.0 ** min(self.refused, 3)
         self.refused += 1
