--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -105,7 +105,6 @@
         self.own = self.shown = 0.0
         self.past: deque[tuple[float, float]] = deque()
         self.running = [0] * len(kind.runs)
-        self.order = crc32(b"%d" % line.since)
         self.pushed: deque[float] = deque()
         self.forget()
 
@@ -141,12 +140,12 @@
         return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
 
     def others(self, now: float) -> float:
-        """Mean slots taken by others at a worker of this kind, by recent reports; below 0 if never heard of.
+        """Mean slots taken by others at a worker of this kind, by recent reports; it must have been heard of.
 
         It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
         """
         silence = max(0.0, now - self.heard_at - AGE_LIMIT)
-        return self.held / self.heard * exp(-silence / KIND_FADE) if self.heard else -1.0
+        return self.held / self.heard * exp(-silence / KIND_FADE)
 
 
 class Run:
@@ -211,7 +210,7 @@
         self.out, self.unstarted, self.turns_at, self.exchange_at = 0.0, 0, 0.0, 0.0
         self.crowd = 1.0  # schedulers to a worker
         self.chosen: Worker | None = None
-        self.turn, self.scouted, self.drift = -1, 0.0, DRIFT
+        self.turn, self.scouted, self.drift, self.mean_run = -1, 0.0, 1.0, 1.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
         self.needs = sorted({scheme.kind for scheme in terms.schemes})
@@ -427,15 +426,11 @@
     def _usual(self, now: float) -> None:
         """What is assumed of the others at each kind, and how fast copies drift to it."""
         done = sum(run.done + RUN_WEIGHT for run in self.runs)
-        self.drift = DRIFT * sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs) / done
-        heard = []
+        self.mean_run = sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs) / done
+        self.drift = DRIFT * self.mean_run
+        heard = [kind.others(now) for kind in self.kinds.values() if kind.heard]
         for kind in self.kinds.values():
-            kind.usual = kind.others(now)
-            if kind.usual >= 0.0:
-                heard.append(kind.usual)
-        mean = sum(heard) / len(heard) if heard else 0.0
-        for kind in self.kinds.values():
-            kind.usual = kind.usual if kind.usual >= 0.0 else mean
+            kind.usual = kind.others(now) if kind.heard else sum(heard) / max(1, len(heard))
 
     def _index(self, worker: Worker, now: float, need: float, size: float) -> tuple[float, bool]:
         """The load index of one worker, and whether it has room."""
@@ -503,8 +498,10 @@
 
     def _strangers(self, pool: list[int], kind: int) -> Iterator[Worker]:
         """Warm workers outside the draw, from a random one on."""
-        start = self._chance(len(pool)) if len(self.drawn) < len(self.open) and pool else 0
-        for at in range(len(pool) if len(self.drawn) < len(self.open) else 0):
+        if len(self.drawn) >= len(self.open) or not pool:
+            return
+        start = self._chance(len(pool))
+        for at in range(len(pool)):
             index = pool[(start + at) % len(pool)]
             worker = self.workers.get(index)
             if not (worker and worker.drawn):
@@ -567,16 +564,13 @@
         """With no room in the draw, a stranger that should have some takes the txn and one place."""
         kind = self.terms.schemes[txn.taken.scheme].kind
         for worker in islice(self._strangers(self.open, kind), WIDEN):
-            if worker.waits or worker.pace < SLOW:
+            if worker.waits or worker.pace < SLOW or not self._sound(worker, txn):
                 continue
-            if self._allowed(worker, now, txn) and self._sound(worker, txn):
-                _, room = self._index(worker, now, self._need(txn), size)
-                if room:
-                    worker.drawn = True
-                    if self.drawn:
-                        self._drop_drawn([self.drawn[self._chance(len(self.drawn))]])
-                    self.drawn.append(worker)
-                    return worker
+            if self._allowed(worker, now, txn) and self._index(worker, now, self._need(txn), size)[1]:
+                worker.drawn = True
+                self._drop_drawn([self.drawn[self._chance(len(self.drawn))]] if self.drawn else [])
+                self.drawn.append(worker)
+                return worker
         return None
 
     def _refresh(self, now: float, indices: list[tuple[float, Worker]], below: float) -> None:
@@ -601,9 +595,8 @@
             first = txn.origin
             if now - first.sent > scheme.span - LAST_CALL:
                 return False
-            if scheme.scope is Scope.ZONE and worker.zone != first.worker.zone:
-                return False
-            if scheme.scope is Scope.CELL and worker.cell != first.worker.cell:
+            zone, cell = worker.zone == first.worker.zone, worker.cell == first.worker.cell
+            if not (scheme.scope is Scope.ALL or zone and (scheme.scope is Scope.ZONE or cell)):
                 return False
         return not self._is_cold(worker.since, now) or self._budget(worker, now, txn)
 
@@ -639,44 +632,33 @@
             return False
         while worker.pushed and worker.pushed[0] < now - duties.push_span:
             worker.pushed.popleft()
-        span = int(max(0.0, now - worker.since) // duties.push_span)
-        quota = self._quota(worker, span, self._cost(worker, txn))
-        start = worker.since + span * duties.push_span
-        return sum(at >= start for at in worker.pushed) < quota
-
-    def _quota(self, worker: Worker, span: int, cost: float) -> int:
-        """Txns of that cost which this scheduler may send in the given span since the worker's start."""
-        duties, all_ = self.terms.duties, self.terms.schedulers
+        span, rank = self._turn(worker.since, now)
         age = max(0, span - 1) * duties.push_span
         bears = min(1.0, duties.cold_share + (1.0 - duties.cold_share) * age / duties.warm_within)
-        turns = self._turns_in(worker.kind, bears, cost)
-        rank = (self.terms.position + worker.order + span * STRIDE) % all_
-        return (turns + all_ - 1 - rank) // all_
+        ahead = self._turns_in(worker.kind, bears, self._cost(worker, txn)) - rank
+        start = worker.since + span * duties.push_span
+        return sum(at >= start for at in worker.pushed) * self.terms.schedulers < ahead
+
+    def _turn(self, since: float, now: float) -> tuple[int, int]:
+        """The span under way at a worker that started then, and how many turns in it come before the own."""
+        span = int(max(0.0, now - since) // self.terms.duties.push_span)
+        return span, (self.terms.position + crc32(b"%d" % since) + span * STRIDE) % self.terms.schedulers
 
     def _turns_in(self, kind: Kind, bears: float, cost: float) -> int:
         """Whole txns, over all schedulers, in one span of a worker at that part of its capacity."""
-        duties, slots = self.terms.duties, max(kind.slots, UNHEARD_SLOTS)
-        total = COLD_MARGIN * duties.push_factor * bears * slots * duties.push_span / 2.0
-        return int(total / max(cost, self.drift / DRIFT / kind.pace()))
+        duties = self.terms.duties
+        total = (
+            COLD_MARGIN * duties.push_factor * bears * max(kind.slots, UNHEARD_SLOTS) * duties.push_span / 2.0
+        )
+        return int(total / max(cost, self.mean_run / kind.pace()))
 
     def _turns(self, now: float) -> list[Worker]:
-        """Cold workers outside the draw at which this scheduler may have a turn now."""
-        if now - self.turns_at >= REST:
-            duties, all_ = self.terms.duties, self.terms.schedulers
+        """Cold workers at which this scheduler may have a turn now; looked for a few times in a span."""
+        if now - self.turns_at >= self.terms.duties.push_span / 4.0:
             most = max((self._turns_in(kind, 1.0, 0.0) for kind in self.kinds.values()), default=0)
-            here = [
-                index
-                for index, since in self.cold.items()
-                if (
-                    self.terms.position
-                    + crc32(b"%d" % since)
-                    + int((now - since) // duties.push_span) * STRIDE
-                )
-                % all_
-                < most
-            ]
-            self.turns_at = now
+            here = [index for index, since in self.cold.items() if self._turn(since, now)[1] < most]
             self.turns = [self.workers.get(index) or self._meet(self.listed[index]) for index in here]
+            self.turns_at = now
         return [worker for worker in self.turns if worker.ready and not worker.drawn]
 
     # News of postings
@@ -735,15 +717,10 @@
         never = event.ending in NEVER_RAN
         if never and txn.origin is posting:
             txn.origin = None
-        if event.closed:
-            happened = Input.SETTLED
-        elif never:
-            happened = Input.NEVER_RAN
-        else:
-            happened = Input.MAY_HAVE_RUN
+        came = Input.NEVER_RAN if never else Input.MAY_HAVE_RUN
         if event.ending is not Ending.SETTLED:
             txn.avoid = worker
-        self._step(now, event.txn, happened)
+        self._step(now, event.txn, Input.SETTLED if event.closed else came)
         self._pump(now)
 
     def _judge(self, worker: Worker, posting: Posting, ending: Ending, now: float) -> None:
@@ -835,19 +812,16 @@
 
     def _sampled(self, now: float, event: events.Sampled) -> None:
         worker = self.workers.get(event.worker)
-        if worker is None:
-            return
-        if event.answered and event.load:
+        if worker is not None and event.answered and event.load:
             self._report(worker, event.load, now)
         self._pump(now)
 
     def _lapsed(self, now: float, event: events.Lapsed) -> None:
         txn = self.txns.get(event.txn)
-        if txn is None:
-            return
-        if txn.state is State.HELD:
-            self._let_go(event.txn, txn)
-        self._step(now, event.txn, Input.LAPSED)
+        if txn is not None:
+            if txn.state is State.HELD:
+                self._let_go(event.txn, txn)
+            self._step(now, event.txn, Input.LAPSED)
 
     # Looking after what is out
 
@@ -863,13 +837,9 @@
             self.effects.append(Follow())
         patience = self.terms.progress * (STILL - 1.0) + STILL_SLACK
         late: list[int] = []
-        for worker in self.drawn:
+        for worker in [*self.drawn, *(worker for worker in self.active.values() if not worker.drawn)]:
             self._measure(worker, now)
             self._look(worker, now)
-        for worker in self.active.values():
-            if not worker.drawn:
-                self._measure(worker, now)
-                self._look(worker, now)
             for (index, _), posting in worker.postings.items():
                 if posting.started:
                     worker.still |= 0.0 < self.terms.progress < now - posting.news - patience
@@ -894,14 +864,9 @@
             txn = self.txns[index]
             scheme = self.terms.schemes[txn.taken.scheme]
             idle = worker.still if posting.started else not vain and now - posting.sent > START_WAIT
-            if (
-                not idle
-                or posting.called_off
-                or txn.state is not State.OUT
-                or scheme.repeats is Repeats.ONCE_ONLY
-                or txn.posted >= self.terms.tariff.postings - (not posting.started)
-                or now >= txn.limit
-            ):
+            left = self.terms.tariff.postings - (not posting.started) - txn.posted
+            free = txn.state is State.OUT and not posting.called_off and left > 0 and now < txn.limit
+            if not (idle and free) or scheme.repeats is Repeats.ONCE_ONLY:
                 continue
             before, txn.avoid = txn.avoid, worker
             other = self._choose(now, txn)
@@ -936,7 +901,6 @@
                     worker.forget()
                     worker.touched = now
                 worker.ready, worker.since = line.standing is Standing.READY, line.since
-                worker.order = crc32(b"%d" % line.since)
         if event.lines:
             ready = [line for line in self.listed.values() if line.standing is Standing.READY]
             self.cold = {new.worker: new.since for new in ready if self._is_cold(new.since, now)}
@@ -957,7 +921,7 @@
         """A live rating is a report too: its kind's size over one more than the jobs held per slot."""
         kind = worker.kind
         kind.size = max(kind.size, rating)
-        # All schedulers are told the same rating at once: used while the own copy is fresh, it herds them.
+        # All are told the same rating at once: used while the own copy is fresh, it herds them.
         if kind.slots and now - worker.true_at > AGE_LIMIT + self.lag:
             self._renew(worker, kind.slots * (kind.size / rating - 1.0), now)
 
