--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -29,9 +29,7 @@
 LAG_GAIN = 0.85  # of the present lag's misfit: less than this is a finding, more is chance
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
 CROSSING_STEP = 0.25  # jobs added to a worker in another zone where crossing has a price
-WATCHERS = (
-    6.0  # schedulers to a worker: with more its copies are moved by others faster than own answers come
-)
+WATCHERS = 6.0  # schedulers to a worker: with more, others move its copies faster than answers renew them
 DRAW_LEAST = 8.0  # workers: enough of each kind, and that a third of them full or ill leaves a choice
 WIDEN = 3  # strangers looked at when the draw has no room; the next look takes others
 NEAR = 0.5  # of the draw from the own zone first, where crossing has a price; the rest evens out the zones
@@ -45,7 +43,6 @@
 RUN_MEMORY = 30_000.0  # ms: decay of the fleet's mean runs
 PACE_MEMORY = 8000.0  # ms: decay of one worker's pace; long enough for some ten finishes
 PACE_WEIGHT = 4.0  # txns that the kind's pace counts for in a worker's
-PACE_FLOOR = 0.05  # least pace: keeps the load index finite
 SLOW = 0.5  # of the fleet's pace: below it a txn started at once is late all the same
 FAULT_MEMORY = 10_000.0  # ms: decay of errors and of finishes beside them
 FAULT_WEIGHT = 3.0  # finishes taken for granted, so that one error alone is not a tenth
@@ -99,8 +96,7 @@
     def __init__(self, index: int, line: Listed, kind: "Kind") -> None:
         self.index = index
         self.zone, self.cell, self.kind = line.zone, line.cell, kind
-        self.ready, self.since = line.standing is Standing.READY, line.since
-        self.drawn = False
+        self.ready, self.since, self.drawn = line.standing is Standing.READY, line.since, False
         self.postings: dict[tuple[int, int], Posting] = {}
         self.own = self.shown = 0.0
         self.past: deque[tuple[float, float]] = deque()
@@ -140,10 +136,8 @@
         return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
 
     def others(self, now: float) -> float:
-        """Mean slots taken by others at a worker of this kind, by recent reports; it must have been heard of.
-
-        It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
-        """
+        """Mean slots taken by others at a worker of this kind, by reports; it must have been heard of."""
+        # It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
         silence = max(0.0, now - self.heard_at - AGE_LIMIT)
         return self.held / self.heard * exp(-silence / KIND_FADE)
 
@@ -182,10 +176,8 @@
 
     def __init__(self, taken: Taken, limit: float, over: bool) -> None:
         self.taken, self.limit, self.over = taken, limit, over
-        self.hopeless = taken.expiry
-        self.moved = False
-        self.state = State.HELD
-        self.posted = 0
+        self.hopeless, self.moved = taken.expiry, False
+        self.state, self.posted = State.HELD, 0
         self.out: dict[int, Posting] = {}
         self.origin: Posting | None = None  # the first posting that may have run
         self.avoid: Worker | None = None
@@ -208,22 +200,20 @@
         self.warming: list[tuple[float, int]] = []
         self.turns: list[Worker] = []
         self.out, self.unstarted, self.turns_at, self.exchange_at = 0.0, 0, 0.0, 0.0
-        self.crowd = 1.0  # schedulers to a worker
         self.chosen: Worker | None = None
         self.turn, self.scouted, self.drift, self.mean_run = -1, 0.0, 1.0, 1.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
         self.needs = sorted({scheme.kind for scheme in terms.schemes})
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
-        self.held = 0
+        self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
         self.limits: list[tuple[float, int]] = []
         self.born, self.follow_at, self.refused = -1.0, 0.0, 0
         self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
         # A part below one txn a second found the first txn of each scheduler beyond the share.
         self.tokens = [TOKENS + account.allowance / terms.schedulers for account in terms.accounts]
         self.token_at = [0.0] * len(terms.accounts)
-        self.wake_at = 0.0
-        self.moves, self.landed, self.moves_at = 0.0, 0.0, 0.0
+        self.wake_at, self.moves, self.landed, self.moves_at = 0.0, 0.0, 0.0, 0.0
         self.handlers = {
             Taken: self._taken,
             Started: self._started,
@@ -330,13 +320,12 @@
 
     def _wait_ahead(self, now: float, lane: "Lane") -> float:
         """How long what the lane holds takes to go out, by its recent flow."""
-        flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY)
         # The first in line goes once there is room; one held txn made small schedulers decline the rest.
+        flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY)
         return max(0, len(lane.queue) - 1) * FLOW_MEMORY / max(flow, FLOW_LEAST)
 
     def _hold(self, index: int, txn: Txn, first: bool) -> None:
-        queue = self._lane(txn).queue
-        (queue.appendleft if first else queue.append)(index)
+        (self._lane(txn).queue.appendleft if first else self._lane(txn).queue.append)(index)
         self.held += 1
         heappush(self.limits, (txn.limit, index))
 
@@ -389,8 +378,7 @@
             self.moves += 1.0
         self.out += need
         txn.posted += 1
-        if txn.origin is None:
-            txn.origin = posting
+        txn.origin = txn.origin or posting
         worker.own += need
         if self.line_shown:
             self._show(worker, need, now)
@@ -412,11 +400,10 @@
 
     # The mechanism: aged copies, the local bound, the rotation
 
-    def _estimate(self, worker: Worker, now: float, usual: float) -> float:
-        """Slots in flight: own ones, and the others' by the copy, which drifts to its kind's mean with age.
-
-        Kinds differ: with one mean for all, many schedulers saw room only on the strongest kind at once.
-        """
+    def _estimate(self, worker: Worker, now: float) -> float:
+        """Slots in flight: own ones, and the others' by the copy, drifting to its kind's mean with age."""
+        # Kinds differ: with one mean for all, many schedulers saw room only on the strongest kind at once.
+        usual = worker.kind.usual
         if worker.others < 0.0:
             # While nothing is heard all schedulers see the same empty fleet, and filled it many times over.
             alike = self.out * (self.terms.schedulers - 1) / max(1, len(self.open))
@@ -434,7 +421,7 @@
 
     def _index(self, worker: Worker, now: float, need: float, size: float) -> tuple[float, bool]:
         """The load index of one worker, and whether it has room."""
-        jobs = self._estimate(worker, now, worker.kind.usual)
+        jobs = self._estimate(worker, now)
         slots = max(worker.kind.slots, UNHEARD_SLOTS)
         index = (jobs + need) * size / (slots * worker.pace) - need
         if worker.zone != self.terms.zone and self.terms.tariff.crossing:
@@ -454,9 +441,8 @@
         sound = [worker for worker in well if worker.pace >= SLOW]
         # A weak kind slower than half the fleet was left out whole; it serves when the others are full.
         weak = [worker for worker in well if SLOW * worker.kind.pace() <= worker.pace < SLOW]
-        indices: list[tuple[float, Worker]] = []
-        full: list[tuple[float, Worker]] = []
-        reserve: list[tuple[float, Worker]] = []
+        ranked: list[list[tuple[float, Worker]]] = [[], [], []]
+        indices, full, reserve = ranked
         for worker in sound + weak or fit:
             if worker.waits:
                 continue
@@ -481,12 +467,9 @@
         return least[self._chance(len(least))]
 
     def _scout(self, now: float, full: list[tuple[float, Worker]]) -> Worker | None:
-        """One txn now and then to the least of the full copies that aged.
-
-        Without it a crowd seen once was taken for one that stays: no worker had room, and with nothing posted
-        no report came to say otherwise. Strangers serve as well, and some hundred scouts a second were a storm:
-        it acts where all workers are drawn, shared out by the number of schedulers.
-        """
+        """One txn now and then to the least of the full copies that aged, where all workers are drawn."""
+        # Without it a crowd seen once was taken for one that stays: nothing posted, no report came to tell
+        # otherwise. Strangers serve as well, and some hundred scouts a second were a storm.
         old = now - AGE_LIMIT - self.lag
         aged = [pair for pair in full if pair[1].others >= 0.0 and pair[1].true_at < old]
         if not aged or len(self.drawn) < len(self.open) or now - self.scouted < AGE_LIMIT * self.crowd:
@@ -538,8 +521,7 @@
     def _drop_drawn(self, out: list[Worker]) -> None:
         for worker in out:
             worker.drawn = False
-        if out:
-            self.drawn = [worker for worker in self.drawn if worker.drawn]
+        self.drawn = [worker for worker in self.drawn if worker.drawn]
 
     def _exchange(self, now: float) -> None:
         """A stranger for one drawn worker now and then, and at once for one that stands still or errs."""
@@ -578,11 +560,10 @@
         if not self.terms.tariff.probes:
             return
         for index, worker in indices:
-            # Each scheduler probing as one alone may, some hundred spent more than the traffic earned.
-            if self.crowd > 1.0 and self._chance(1000) * self.crowd > 1000.0:
-                continue
             aged = now - worker.true_at > AGE_LIMIT + self.lag
-            if (index < below or aged) and now - worker.probed >= AGE_LIMIT:
+            # Each probing as one alone may, some hundred schedulers spent more than the traffic earned.
+            mine = self.crowd <= 1.0 or self._chance(1000) * self.crowd <= 1000.0
+            if mine and (index < below or aged) and now - worker.probed >= AGE_LIMIT:
                 worker.probed = now
                 self.effects.append(Probe(worker.index))
 
@@ -595,8 +576,8 @@
             first = txn.origin
             if now - first.sent > scheme.span - LAST_CALL:
                 return False
-            zone, cell = worker.zone == first.worker.zone, worker.cell == first.worker.cell
-            if not (scheme.scope is Scope.ALL or zone and (scheme.scope is Scope.ZONE or cell)):
+            home = {Scope.ZONE: first.worker.zone, Scope.CELL: first.worker.cell}.get(scheme.scope)
+            if home is not None and home != (worker.zone if scheme.scope is Scope.ZONE else worker.cell):
                 return False
         return not self._is_cold(worker.since, now) or self._budget(worker, now, txn)
 
@@ -623,9 +604,8 @@
     def _budget(self, worker: Worker, now: float, txn: Txn) -> bool:
         """Whether this scheduler's turns at a cold worker still hold this txn.
 
-        Time since the worker's start, which all are told alike, is cut into spans; what it bears in any two
-        of them is given out in whole txns, in an order that differs by worker and span. One part in the
-        number of schedulers was less than one txn for each, and left cold workers idle.
+        Time since the worker's start, told to all alike, is cut into spans; what it bears in two is given out
+        in whole txns, in turn: one part in the number of schedulers was under one txn, and left it idle.
         """
         duties = self.terms.duties
         if now - self.born < duties.push_span:  # what a scheduler killed just now sent is not known here
@@ -664,8 +644,7 @@
     # News of postings
 
     def _started(self, now: float, event: Started) -> None:
-        posting = self._posting(event.txn, event.posting)
-        if posting is None:
+        if (posting := self._posting(event.txn, event.posting)) is None:
             return
         worker = posting.worker
         self._measure(worker, now)
@@ -678,17 +657,14 @@
             worker.running[posting.scheme] += 1
             if not self.line_shown:
                 self._show(worker, posting.need, now)
-        posting.news = now
-        worker.still = False
+        posting.news, worker.still = now, False
         busy = sum(other.need for other in worker.postings.values() if other.started)
         worker.kind.slots = max(worker.kind.slots, float(int(busy)))
         self._look(worker, now)
 
     def _progressed(self, now: float, event: events.Progressed) -> None:
-        posting = self._posting(event.txn, event.posting)
-        if posting is not None:
-            posting.news = now
-            posting.worker.still = False
+        if (posting := self._posting(event.txn, event.posting)) is not None:
+            posting.news, posting.worker.still = now, False
 
     def _posting(self, index: int, number: int) -> Posting | None:
         txn = self.txns.get(index)
@@ -703,7 +679,7 @@
         worker.postings.pop((event.txn, event.posting), None)
         if not worker.postings:
             worker.still = False
-            self.active.pop(worker.index, None)
+            del self.active[worker.index]
         self.unstarted -= not posting.started
         self.out = max(0.0, self.out - posting.need)
         self._measure(worker, now)
@@ -762,8 +738,7 @@
                 due += spell * count / run.mean()
         kind.due += 0.0 if worker.still else due
         worker.done, worker.due, worker.touched = worker.done * fade, worker.due * fade + due, now
-        pace = (worker.done + PACE_WEIGHT * kind.pace()) / (worker.due + PACE_WEIGHT)
-        worker.pace = max(PACE_FLOOR, pace)
+        worker.pace = (worker.done + PACE_WEIGHT * kind.pace()) / (worker.due + PACE_WEIGHT)
 
     def _report(self, worker: Worker, load: tuple[float, ...], now: float) -> None:
         """Renew the copy. The same figures again are the same report, and its copy goes on ageing."""
@@ -774,13 +749,10 @@
         if terms.free_slots >= 0:
             kind.slots = max(kind.slots, float(round(load[terms.free_slots])))
         if terms.handled >= 0:
-            jobs = load[terms.handled]
+            self._renew(worker, load[terms.handled], now)
         elif terms.free_slots >= 0:
-            jobs = kind.slots - load[terms.free_slots]
-            jobs += load[terms.waiting] if terms.waiting >= 0 else 0.0
-        else:
-            return
-        self._renew(worker, jobs, now)
+            waiting = load[terms.waiting] if terms.waiting >= 0 else 0.0
+            self._renew(worker, kind.slots - load[terms.free_slots] + waiting, now)
 
     def _renew(self, worker: Worker, jobs: float, now: float) -> None:
         """A fresh copy: the jobs at the worker a lag ago, less the own ones then."""
@@ -846,11 +818,10 @@
                 # Lines of txns too late to earn anything grew until nothing in them was in time.
                 elif now > self.txns[index].hopeless and not posting.called_off:
                     late.append(index)
+        self._exchange(now)
         if self.terms.tariff.call_off:
             for index in late:
                 self._step(now, index, Input.LATE)
-        self._exchange(now)
-        if self.terms.tariff.call_off:
             for worker in list(self.active.values()):
                 if worker.waits or worker.still:
                     self._move(worker, now)
@@ -891,12 +862,10 @@
         for line in event.lines:
             if line.kind not in self.kinds:
                 self.kinds[line.kind] = Kind(line.kind, self.runs)
+            self.listed[line.worker] = line
             if line.standing is Standing.GONE:
-                self.listed.pop(line.worker, None)
-            else:
-                self.listed[line.worker] = line
-            worker = self.workers.get(line.worker)
-            if worker is not None:
+                del self.listed[line.worker]
+            if (worker := self.workers.get(line.worker)) is not None:
                 if line.since != worker.since:
                     worker.forget()
                     worker.touched = now
