--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -94,8 +94,7 @@
     """One listed worker: its copy, its own postings, what was measured of it."""
 
     def __init__(self, index: int, line: Listed, kind: "Kind") -> None:
-        self.index = index
-        self.zone, self.cell, self.kind = line.zone, line.cell, kind
+        self.index, self.zone, self.cell, self.kind = index, line.zone, line.cell, kind
         self.ready, self.since, self.drawn = line.standing is Standing.READY, line.since, False
         self.postings: dict[tuple[int, int], Posting] = {}
         self.own = self.shown = 0.0
@@ -126,10 +125,9 @@
     """Workers built alike: their slots, and their pace against the fleet."""
 
     def __init__(self, index: int, runs: list["Run"]) -> None:
-        self.index = index
+        self.index, self.runs = index, runs
         self.slots, self.size = 0.0, 0.0
         self.held, self.heard, self.heard_at, self.usual = 0.0, 0.0, 0.0, 0.0
-        self.runs = runs
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
 
     def pace(self) -> float:
@@ -303,9 +301,9 @@
             txn.hopeless = now + scheme.sla + max(0.0, scheme.stretch - 1.0) * HOPE * typical / TYPICAL
         if self._wait_ahead(now, self._lane(txn)) > ADMITTED * patience:
             self._step(now, event.txn, Input.LATE)
-            return
-        self._hold(event.txn, txn, first=False)
-        self._pump(now)
+        else:
+            self._hold(event.txn, txn, first=False)
+            self._pump(now)
 
     def _beyond_share(self, now: float, account: int) -> bool:
         """Whether the tenant sends more than this scheduler's part of its allowance."""
@@ -314,9 +312,8 @@
         rate = self.terms.accounts[account].allowance / self.terms.schedulers
         spare = min(TOKENS + rate, self.tokens[account] + (now - self.token_at[account]) * rate / 1000.0)
         self.token_at[account] = now
-        beyond = spare < 1.0
-        self.tokens[account] = spare if beyond else spare - 1.0
-        return beyond
+        self.tokens[account] = spare - (spare >= 1.0)
+        return spare < 1.0
 
     def _wait_ahead(self, now: float, lane: "Lane") -> float:
         """How long what the lane holds takes to go out, by its recent flow."""
@@ -350,8 +347,7 @@
         self._expire(now)
         if not self.held:
             return
-        lanes = [lane for both in self.lanes for lane in both if lane.queue]
-        for lane in sorted(lanes, key=self._earns, reverse=True):
+        for lane in sorted((lane for both in self.lanes for lane in both), key=self._earns, reverse=True):
             while lane.queue:
                 index = lane.queue[0]
                 txn = self.txns[index]
@@ -374,8 +370,7 @@
         self.active[worker.index] = worker
         self.unstarted += 1
         if txn.moved:
-            self._faded_moves(now)
-            self.moves += 1.0
+            self._count_moves(now, 1.0, 0.0)
         self.out += need
         txn.posted += 1
         txn.origin = txn.origin or posting
@@ -458,7 +453,8 @@
         if self.turn < 0:
             self.turn = self._chance(len(indices))
         self.turn += 1
-        index, worker = indices[self.turn % len(indices)]
+        named = [pair for pair in indices if pair[1].index in self.cold] or indices
+        index, worker = named[self.turn % len(named)]
         bound = IMBALANCE - UNCERTAINTY
         self._refresh(now, indices, index - bound)
         if index - lowest <= bound:
@@ -523,6 +519,12 @@
             worker.drawn = False
         self.drawn = [worker for worker in self.drawn if worker.drawn]
 
+    def _draw(self, worker: Worker) -> None:
+        """One worker more, for a random other."""
+        self._drop_drawn([self.drawn[self._chance(len(self.drawn))]] if self.drawn else [])
+        worker.drawn = True
+        self.drawn.append(worker)
+
     def _exchange(self, now: float) -> None:
         """A stranger for one drawn worker now and then, and at once for one that stands still or errs."""
         while self.warming and not self._is_cold(self.warming[0][0], now):
@@ -530,6 +532,9 @@
             if self.cold.get(index) == since:
                 del self.cold[index]
                 self._warm(self.listed[index])
+                # A fleet that doubled stood idle beside full draws: who is new has the same chance as all.
+                if len(self.drawn) > self._chance(len(self.open)):
+                    self._draw(self.workers.get(index) or self._meet(self.listed[index]))
         if len(self.drawn) < min(len(self.open), self._most()):
             self._redraw(now)
         if not 0 < len(self.drawn) < len(self.open):
@@ -549,9 +554,7 @@
             if worker.waits or worker.pace < SLOW or not self._sound(worker, txn):
                 continue
             if self._allowed(worker, now, txn) and self._index(worker, now, self._need(txn), size)[1]:
-                worker.drawn = True
-                self._drop_drawn([self.drawn[self._chance(len(self.drawn))]] if self.drawn else [])
-                self.drawn.append(worker)
+                self._draw(worker)
                 return worker
         return None
 
@@ -652,8 +655,7 @@
             posting.started = True
             self.unstarted -= 1
             if self.txns[event.txn].moved and now - posting.sent <= START_WAIT:
-                self._faded_moves(now)
-                self.landed += 1.0
+                self._count_moves(now, 0.0, 1.0)
             worker.running[posting.scheme] += 1
             if not self.line_shown:
                 self._show(worker, posting.need, now)
@@ -772,8 +774,7 @@
         since, before = worker.true_at + self.lag, worker.reported
         if before < 0.0 or now - since > AGE_LIMIT * 3.0:
             return
-        fade = exp((self.misfit_at - now) / LAG_MEMORY)
-        self.misfit_at = now
+        fade, self.misfit_at = exp((self.misfit_at - now) / LAG_MEMORY), now
         for at, lag in enumerate(LAGS):
             moved = worker.shown_at(now - lag) - worker.shown_at(since - lag)
             self.misfit[at] = self.misfit[at] * fade + (jobs - before - moved) ** 2
@@ -845,9 +846,9 @@
             if other is not None and other is not worker:
                 self._step(now, index, Input.STALLED)
 
-    def _faded_moves(self, now: float) -> None:
+    def _count_moves(self, now: float, moves: float, landed: float) -> None:
         fade = exp((self.moves_at - now) / MOVE_MEMORY)
-        self.moves, self.landed, self.moves_at = self.moves * fade, self.landed * fade, now
+        self.moves, self.landed, self.moves_at = self.moves * fade + moves, self.landed * fade + landed, now
 
     # The roster
 
