Mix the checksums that chance is drawn from; scenarios for the findings so far

Cause: checksums of like seeds and counts are alike, most schedulers drew every second worker (seen by the new test, 300 schedulers).

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -16,6 +16,8 @@
 from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
 from sableford.model.events import NEVER_RAN, Ended, Ending, Event, Listed, Roster, Standing, Started, Taken
 
+MIX = 2_654_435_761  # spreads a checksum's bits: the golden part of 2**32
+
 # The mechanism
 IMBALANCE = 1.5  # jobs, D: a slot is lost or a wait begun when two workers differ by more than about this
 UNCERTAINTY = 1.0  # jobs, each D_j: what others send between two reports of one worker
@@ -242,7 +244,8 @@
 
     def _chance(self, ends: int) -> int:
         self.draws += 1
-        return crc32(b"%d:%d" % (self.seed, self.draws)) % ends
+        # Checksums of like seeds are alike: unmixed, most schedulers drew the same half of the workers.
+        return crc32(b"%d:%d" % (self.seed, self.draws)) * MIX % 2**32 * ends >> 32
 
     # The txn's life: a table read by a short loop
 
@@ -482,11 +485,9 @@
         start = self._chance(len(pool))
         for at in range(len(pool)):
             index = pool[(start + at) % len(pool)]
-            worker = self.workers.get(index)
-            if not (worker and worker.drawn):
-                line = self.listed[index]
-                if kind in (-1, line.kind):
-                    yield worker or self._meet(line)
+            worker, line = self.workers.get(index), self.listed[index]
+            if kind in (-1, line.kind) and not (worker and worker.drawn):
+                yield worker or self._meet(line)
 
     def _meet(self, line: Listed) -> Worker:
         worker = self.workers[line.worker] = Worker(line.worker, line, self.kinds[line.kind])
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -9,7 +9,7 @@
 
 import sableford
 import tests
-from tests import adapter
+from tests import adapter, crowd
 from tests.helper import play, scenarios
 
 
@@ -28,9 +28,10 @@
                 module = importlib.import_module(found.name)
                 if ">>>" in Path(module.__file__).read_text():
                     yield f"examples of {found.name}", lambda module=module: doctested(module)
-    for name, check in vars(adapter).items():
-        if name.startswith("shows_"):
-            yield f"adapter: {name[6:].replace('_', ' ')}", check
+    for module in (adapter, crowd):
+        for name, check in vars(module).items():
+            if name.startswith("shows_"):
+                yield f"{module.__name__}: {name[6:].replace('_', ' ')}", check
 
 
 def main() -> int:
--- a/tests/adapter.py
+++ b/tests/adapter.py
@@ -73,6 +73,15 @@
     assert (code, kind, number) == (0, 21, 1) and b"most_postings" in out
 
 
+def shows_a_missing_count_of_schedulers_is_named() -> None:
+    for profile in (
+        {**PROFILE, "instances": 0},
+        {key: PROFILE[key] for key in PROFILE if key != "instances"},
+    ):
+        _, out, _ = host(opening(1, profile))
+        assert out[8] == 21 and b"instances" in out
+
+
 def shows_teardown_then_born_in_one_batch_forgets_the_old() -> None:
     first = opening(1)
     again = frame(
--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,52 @@
+"""Plain asserts on many schedulers at once, which share nothing but what all are told."""
+
+from tests.helper import START, Play
+
+MANY = 300
+
+
+def crowd(*steps: str, **terms: float) -> list[tuple[float, str]]:
+    """Plays the same steps at each of many schedulers; when and to which worker they posted."""
+    posts = []
+    for position in range(MANY):
+        scene = Play()
+        scene.terms = {"schedulers": MANY, "position": position, **terms}
+        scene.scheme("quote", "repeatable", "sla=900", "expiry=2000")
+        for step in steps:
+            scene.step(step.split())
+            posts += [
+                (float(step.split()[0]), told.split()[2]) for told in scene.told if told.startswith("post")
+            ]
+    return posts
+
+
+def shows_many_schedulers_together_keep_to_a_cold_workers_budget() -> None:
+    span, factor, cold, warm = 2000, 4.0, 0.2, 20_000
+    takes = [f"{at} take t{at}1-t{at}3 quote" for at in range(2000, 12_000, 500)]
+    steps = ["0 roster A since=-10", *takes]
+    posts = crowd(*steps, span=span, factor=factor, cold=cold, warm=warm)
+    run = 0.125 * 2000  # what a scheduler takes a run for before it has seen one
+    for at, _ in posts:
+        sent = sum(run for when, _ in posts if at <= when < at + span)
+        bears = cold + (1.0 - cold) * (at + 10) / warm
+        assert sent <= factor * bears * 2.0 * span, (at, sent)
+    assert len(posts) > 20, len(posts)  # and it is not left idle
+
+
+def shows_restarts_together_send_a_cold_worker_nothing_for_one_span() -> None:
+    assert not crowd("0 roster A since=-3000", "100 take t1-t3 quote", "900 wait", factor=9, cold=0.9)
+
+
+def shows_each_draws_its_own_few_and_all_workers_are_used() -> None:
+    posts = crowd("0 roster W1-W40", "10 take t1-t2 quote")
+    counts = {name: sum(worker == name for _, worker in posts) for _, name in posts}
+    assert len(counts) == 40 and max(counts.values()) < 3 * len(posts) / 40, counts
+
+
+def shows_a_part_of_an_allowance_below_one_txn_is_not_none() -> None:
+    scene = Play()
+    scene.terms = {"schedulers": MANY, "allowance": 30.0}
+    scene.scheme("quote", "repeatable")
+    core = scene.open()
+    assert [core._beyond_share(START, 0) for _ in range(3)] == [False, False, True]
+    assert not core._beyond_share(START + 11_000.0, 0)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -5,7 +5,7 @@
 effects since the step before (wake-ups asked for are played in between): `[COUNT|<=COUNT|>=COUNT] PATTERN`,
 one match where no count stands. A load is txns waiting, then free slots.
 
-    0 roster A; B since=-100 zone=1; C draining       lines of the list
+    0 roster A; B since=-100 zone=1; W1-W9 draining   lines of the list
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
     9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
     effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A
@@ -52,6 +52,19 @@
     return {key: float(value) for key, _, value in (word.partition("=") for word in words) if value}
 
 
+def spread(text: str) -> list[str]:
+    """A range of names written out.
+
+    >>> spread("W8-W10 zone=1")
+    ['W8 zone=1', 'W9 zone=1', 'W10 zone=1']
+    """
+    found = re.fullmatch(r"\s*(\D+)(\d+)-\1(\d+)(.*)", text)
+    if not found:
+        return [text]
+    name, first, last, rest = found.groups()
+    return [f"{name}{number}{rest}" for number in range(int(first), int(last) + 1)]
+
+
 class Play:
     """One scenario under way."""
 
@@ -71,11 +84,12 @@
             "expiry": 5000.0,
             "earnings": 1.0,
             "span": 0.0,
+            "kind": -1,
             **options(list(rest)),
         }
         scope = next((Scope[word.upper()] for word in rest if "=" not in word), Scope.ALL)
         sort = Repeats[repeats.upper().replace("-", "_")]
-        self.schemes[name] = Scheme(sort, scope, kind=-1, **facts)
+        self.schemes[name] = Scheme(sort, scope, **facts)
 
     def open(self) -> Scheduler:
         told = {"schedulers": 1, "allowance": 0, "probes": 0, "postings": 6, "pause": 0, "factor": 2.0}
@@ -98,12 +112,7 @@
                 accounts=(Account(told["allowance"]), Account(0.0)) if told["allowance"] else (),
                 duties=Duties(told["cold"], told["warm"], told["factor"], told["span"]),
                 tariff=Tariff(
-                    int(told["postings"]),
-                    True,
-                    bool(told["probes"]),
-                    told["pause"],
-                    told["overage"],
-                    0.0,
+                    int(told["postings"]), True, bool(told["probes"]), told["pause"], told["overage"], 0.0
                 ),
                 tells_start=bool(told["tells"]),
                 progress=told["progress"],
@@ -114,7 +123,7 @@
                 free_slots=int(told["free"]),
                 free_memory=-1,
             ),
-            seed=7,
+            seed=7 + int(told.get("position", 0)),
         )
 
     def index(self, sort: str, name: str) -> int:
@@ -144,17 +153,16 @@
     def events(self, now: float, verb: str, rest: list[str]):
         """The events of one step."""
         if verb == "roster":
-            lines = " ".join(rest).split(";")
+            lines = [line for text in " ".join(rest).split(";") for line in spread(text)]
             for words in map(str.split, lines):
                 self.ratings[self.index("worker", words[0])] = options(words[1:]).get("rating", 1.0)
             yield Roster(tuple(map(self.listed, lines)), lambda worker: self.ratings.get(worker, 0.0))
         elif verb == "take":
             facts = options(rest)
-            first, last = (re.fullmatch(r"(\D+)(\d+)", end).groups() for end in (rest[0].split("-") * 2)[:2])
             scheme = list(self.schemes).index(rest[1])
             expiry = now + facts.get("expiry", self.schemes[rest[1]].expiry)
-            for number in range(int(first[1]), int(last[1]) + 1):
-                txn = self.index("txn", f"{first[0]}{number}")
+            for name in spread(rest[0]):
+                txn = self.index("txn", name)
                 account, slots = int(facts.get("account", 0)), facts.get("slots", 1.0)
                 yield Taken(txn, scheme, account, expiry, slots, 0.0)
         elif verb == "start":
@@ -164,7 +172,8 @@
         elif verb == "end":
             ending = Ending[rest[1].upper()]
             load = tuple(map(float, rest[2:]))
-            yield Ended(*self.posting(rest[0]), ending, ending is Ending.SETTLED, load)
+            for name in rest[0].split(","):
+                yield Ended(*self.posting(name), ending, ending is Ending.SETTLED, load)
         elif verb == "unfollow":
             yield Unfollowed()
         elif verb == "lapse":
@@ -180,7 +189,7 @@
         now, self.told = START + float(words[0]), []
         while self.wakes and self.wakes[0] <= now:
             due = heappop(self.wakes)
-            self.hear(due, Woken())
+            self.hear(due - 0.0005, Woken())  # the wire rounds: a wake-up may come a little early
         for event in self.events(now, words[1], words[2:]):
             self.hear(now, event)
 
