--- a/tests/helper.py
+++ b/tests/helper.py
@@ -12,6 +12,7 @@
 """
 
 import re
+from collections.abc import Iterable
 from fnmatch import fnmatchcase
 from heapq import heappop, heappush
 
@@ -48,7 +49,7 @@
 START = 1_000_000.0
 
 
-def options(words: list[str]) -> dict[str, float]:
+def options(words: Iterable[str]) -> dict[str, float]:
     return {key: float(value) for key, _, value in (word.partition("=") for word in words) if value}
 
 
@@ -78,30 +79,14 @@
         self.ratings: dict[int, float] = {}
 
     def scheme(self, name: str, repeats: str, *rest: str) -> None:
-        facts = {
-            "sla": 300.0,
-            "stretch": 2.0,
-            "expiry": 5000.0,
-            "earnings": 1.0,
-            "span": 0.0,
-            "kind": -1,
-            **options(list(rest)),
-        }
+        facts = options("sla=300 stretch=2 expiry=5000 earnings=1 span=0 kind=-1".split()) | options(rest)
         scope = next((Scope[word.upper()] for word in rest if "=" not in word), Scope.ALL)
         sort = Repeats[repeats.upper().replace("-", "_")]
         self.schemes[name] = Scheme(sort, scope, **facts)
 
     def open(self) -> Scheduler:
         told = {"schedulers": 1, "allowance": 0, "probes": 0, "postings": 6, "pause": 0, "factor": 2.0}
-        told |= {
-            "cold": 0.2,
-            "warm": 10_000,
-            "span": 2000,
-            "tells": 1,
-            "progress": 1000,
-            "free": 1,
-            "overage": 0.1,
-        }
+        told |= options("cold=0.2 warm=10000 span=2000 tells=1 progress=1000 free=1 overage=0.1".split())
         told |= self.terms
         return Scheduler(
             Terms(
