Rest a worker on which a posting did not start, longer each time

Cause: a hung or full worker with nothing of ours left out looked idle, and was sent the next txn at once.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -371,10 +371,9 @@
         posting = Posting(worker, txn.taken.scheme, need, now)
         worker.postings[index, txn.posted] = txn.out[txn.posted] = posting
         self.active[worker.index] = worker
-        self.unstarted += 1
+        self.unstarted, self.out = self.unstarted + 1, self.out + need
         if txn.moved:
             self._count_moves(now, 1.0, 0.0)
-        self.out += need
         txn.posted += 1
         txn.origin = txn.origin or posting
         worker.own += need
@@ -660,7 +659,7 @@
             worker.running[posting.scheme] += 1
             if not self.line_shown:
                 self._show(worker, posting.need, now)
-        posting.news, worker.still = now, False
+        posting.news, worker.still, worker.misses = now, False, 0
         busy = sum(other.need for other in worker.postings.values() if other.started)
         worker.kind.slots = max(worker.kind.slots, float(int(busy)))
         self._look(worker, now)
@@ -717,7 +716,8 @@
                 self.runs[posting.scheme].done += 1.0
         elif ending is Ending.ERROR or ending is Ending.BROKEN:
             worker.faults += 1.0
-        elif ending is Ending.NO_CONNECTION:
+        # A hung worker with nothing left out looked idle, and was sent the next txn at once.
+        elif ending is Ending.NO_CONNECTION or (ending is Ending.CALLED_OFF and not posting.started):
             worker.rest_until = now + min(SHUN_MOST, SHUN * 2.0**worker.misses)
             worker.misses = min(worker.misses + 1, 8)
         elif ending is Ending.FULL:
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -14,9 +14,8 @@
         scene.scheme("quote", "repeatable", "sla=900", "expiry=2000")
         for step in steps:
             scene.step(step.split())
-            posts += [
-                (float(step.split()[0]), told.split()[2]) for told in scene.told if told.startswith("post")
-            ]
+            at = float(step.split()[0])
+            posts += [(at, told.split()[2]) for told in scene.told if told.startswith("post")]
     return posts
 
 
