--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -22,11 +22,9 @@
 def shows_many_schedulers_together_keep_to_a_cold_workers_budget() -> None:
     span, factor, cold, warm = 2000, 4.0, 0.2, 20_000
     takes = [f"{at} take t{at}1-t{at}3 quote" for at in range(2000, 12_000, 500)]
-    steps = ["0 roster A since=-10", *takes]
-    posts = crowd(*steps, span=span, factor=factor, cold=cold, warm=warm)
-    run = 0.125 * 2000  # what a scheduler takes a run for before it has seen one
-    for at, _ in posts:
-        sent = sum(run for when, _ in posts if at <= when < at + span)
+    posts = crowd("0 roster A since=-10", *takes, span=span, factor=factor, cold=cold, warm=warm)
+    for at, _ in posts:  # an eighth of the expiry is what a run is taken for before one was seen
+        sent = 2000 / 8 * sum(at <= when < at + span for when, _ in posts)
         bears = cold + (1.0 - cold) * (at + 10) / warm
         assert sent <= factor * bears * 2.0 * span, (at, sent)
     assert len(posts) > 20, len(posts)  # and it is not left idle
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -85,9 +85,8 @@
         self.schemes[name] = Scheme(sort, scope, **facts)
 
     def open(self) -> Scheduler:
-        told = {"schedulers": 1, "allowance": 0, "probes": 0, "postings": 6, "pause": 0, "factor": 2.0}
-        told |= options("cold=0.2 warm=10000 span=2000 tells=1 progress=1000 free=1 overage=0.1".split())
-        told |= self.terms
+        told = options("schedulers=1 allowance=0 probes=0 postings=6 pause=0 factor=2 cold=0.2".split())
+        told |= options("warm=10000 span=2000 tells=1 progress=1000 free=1 overage=0.1".split()) | self.terms
         return Scheduler(
             Terms(
                 schedulers=int(told["schedulers"]),
