Refuse requests whose head has two readings: two lengths, or a header twice

Ruled out: the workers' side (one request at a time on a line, framing of our own) and the retry path (the inner id was never taken before). At fault: Client._advance, which took what h11 makes of both lengths (chunked goes first) and read the rest as a second request. The same holds for two ids, classes or times: dict(headers) took the last, the worker was sent both. Change: such a head gets 400, the rest is not read as a request, and the connection is closed.

--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -150,6 +150,7 @@
                 event = state.next_event()
                 if isinstance(event, h11.Request):
                     self._head, self._body = event, bytearray()
+                    self._one_reading(event)
                     if int(dict(event.headers).get(b"content-length", b"0")) > self._limits.body:
                         raise Malformed(413, "the body is too long")
                     if state.they_are_waiting_for_100_continue:
@@ -167,6 +168,15 @@
         except Malformed as problem:
             self._reject(problem.status, str(problem))
 
+    def _one_reading(self, head: h11.Request) -> None:
+        """The head has one meaning to every reader, or goes no further."""
+        names = [name for name, _ in head.headers]
+        # Both say where the body ends: by one of them a whole other request stood inside it, and went on.
+        if wire.CODING in names and (wire.LENGTH in names or head.http_version < b"1.1"):
+            raise Malformed(400, "two lengths")
+        if any(names.count(name) > 1 for name in wire.ONCE):
+            raise Malformed(400, "a header twice")
+
     def _dispatch(self) -> None:
         path = self._head.target.partition(b"?")[0]
         try:
--- a/sableford/net/wire.py
+++ b/sableford/net/wire.py
@@ -12,6 +12,8 @@
 from sableford.intake.door import Sheet
 
 ID, SCHEME, TIME_LEFT, FACTS = b"x-correlation-id", b"x-service-class", b"x-time-left", b"x-facts"
+LENGTH, CODING = b"content-length", b"transfer-encoding"
+ONCE = (ID, SCHEME, TIME_LEFT, FACTS, b"host")  # of two it would hang on the reader which one counts
 LOAD, NOT_RUN = b"x-backend-load", b"x-unprocessed"
 READY, HEALTH, LOAD_PATH, LIST = b"/ready", b"/health", b"/status/load", "/v1/endpoints"
 JOB_METHOD, JOB_PATH = b"POST", b"/api"
