Read the file again on SIGHUP and move the watch to the new discovery

Checked: the log stops at that moment with nothing said; 129 is the signal's own exit code. At fault: cli.run, which set handlers for SIGTERM and SIGINT only; and Roster.run, which sat inside its watch and could not have heard of another address. Change: an actor that owns the file (berth.Keeper) reads it again, as a whole or not at all, and tells roster, desk and gate the new limits and address. The roster cancels its watch without telling a loss, forgets the version and takes the first list of the new address; while that is not up it is tried again for 4 s. By a reload the file goes before the variable. What can't change (name, listen, settings) is logged as needing a restart.

--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -1,6 +1,7 @@
 """What a scheduler is told at start: its name and addresses, its limits, the first list, the settings.
 
-It owns reading that file and saying in one line what is wrong with it. It must never guess a missing field.
+It owns reading that file, at start and again when asked, and saying in one line what is wrong with it. It
+must never guess a missing field, nor put half of a file into force.
 """
 
 import os
@@ -12,6 +13,8 @@
 from sableford.intake.charter import Charter, read_charter
 from sableford.net import wire
 from sableford.net.limits import Limits, granted
+from sableford.net.log import Log
+from sableford.net.mail import Mailbox, Renew
 
 
 class Berth(NamedTuple):
@@ -22,6 +25,11 @@
     known: bytes
     charter: Charter
     limits: Limits
+    filed: tuple[tuple[str, int], ...]  # where to listen and where discovery is by the file alone
+
+    def decided(self) -> Charter:
+        """The settings without those that are limits: the module has them for life."""
+        return self.charter._replace(idle=0.0, connect=0.0)
 
 
 class _Granted(msgspec.Struct):
@@ -38,6 +46,46 @@
     settings: msgspec.Raw
 
 
+class Reread(NamedTuple):
+    """To the keeper: read the file again."""
+
+
+class Keeper:
+    """The file's actor: reads it again when asked, and tells the others what is new in it."""
+
+    def __init__(self, path: str, log: Log) -> None:
+        self.mail = Mailbox()
+        self._path, self._log = path, log
+
+    async def run(self, berth: Berth, others: tuple[Mailbox, ...]) -> None:
+        """A file as a whole or not at all. Asked twice at once it reads once."""
+        now, filed = Renew(berth.limits, berth.discovery), berth.filed
+        while True:
+            await self.mail.take()
+            try:
+                read = read_berth(self._path)
+            except ValueError as problem:
+                self._log.say("reload_refused", problem=str(problem))
+                continue
+            # By the file alone: the variables name what was true at start.
+            moved = read.filed[1] != filed[1]
+            told = Renew(read.limits, read.filed[1] if moved else now.discovery)
+            fixed = [
+                field
+                for field, differs in (
+                    ("name", read.name != berth.name),
+                    ("listen", read.filed[0] != berth.filed[0]),
+                    ("settings", read.decided() != berth.decided()),
+                )
+                if differs
+            ]
+            self._log.say("reloaded", discovery=told.discovery, lines=told.limits.lines, restart_for=fixed)
+            if told != now:
+                for mail in others:
+                    mail.put(told)
+            now, filed = told, read.filed
+
+
 def read_berth(path: str) -> Berth:
     """Read the file; ValueError names the file and the field."""
     try:
@@ -54,12 +102,12 @@
         wire.listing(text.known, charter)
     except msgspec.MsgspecError as problem:
         raise ValueError(f"{path}: known: {problem}") from problem
-    places = []
+    places, filed = [], []
     for field, told in (("listen", text.listen), ("discovery", text.discovery)):
-        told = os.environ.get(f"BALANCER_{field.upper()}", told)
-        try:
-            places.append(wire.address(told))
-        except ValueError as problem:
-            raise ValueError(f"{path}: {field}: {problem}") from problem
+        for found, where in ((filed, told), (places, os.environ.get(f"BALANCER_{field.upper()}", told))):
+            try:
+                found.append(wire.address(where))
+            except ValueError as problem:
+                raise ValueError(f"{path}: {field}: {problem}") from problem
     limits = granted(text.limits.sockets, charter.idle, charter.connect)
-    return Berth(text.name, places[0], places[1], text.seed, bytes(text.known), charter, limits)
+    return Berth(text.name, places[0], places[1], text.seed, bytes(text.known), charter, limits, tuple(filed))
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -12,7 +12,7 @@
 import click
 
 import sableford
-from sableford.net.berth import Berth, read_berth
+from sableford.net.berth import Berth, Keeper, Reread, read_berth
 from sableford.net.clients import Gate
 from sableford.net.desk import Desk
 from sableford.net.log import Log
@@ -37,7 +37,7 @@
     return listener
 
 
-async def run(berth: Berth, log: Log) -> int:
+async def run(berth: Berth, path: str, log: Log) -> int:
     """Start every actor, and end when the gate has."""
     loop, charter, limits = asyncio.get_running_loop(), berth.charter, berth.limits
     loop.set_exception_handler(
@@ -47,13 +47,16 @@
     roster = Roster(berth.discovery, limits, charter, log)
     desk = Desk(charter, berth.seed, roster.mail, clock, limits, log)
     gate = Gate(listener, desk.mail, clock, limits, charter, log)
+    keeper = Keeper(path, log)
     desk.mail.put(first_list(berth.known, charter, log))  # lies there before any txn can
     for stop in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop, gate.mail.put, Leave())
+    loop.add_signal_handler(signal.SIGHUP, keeper.mail.put, Reread())
     actors = {
         loop.create_task(desk.run(), name="desk"): desk,
         loop.create_task(roster.run(desk.mail), name="roster"): roster,
         loop.create_task(gate.run(), name="gate"): gate,
+        loop.create_task(keeper.run(berth, (roster.mail, desk.mail, gate.mail)), name="keeper"): keeper,
     }
     log.say("serving", listen=berth.listen, clients=limits.clients, lines=limits.lines)
     done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
@@ -90,12 +93,16 @@
 @_path
 @click.option("--each-txn", is_flag=True, help="Log each txn's postings and answers too.")
 def serve(config: str, each_txn: bool) -> None:
-    """Run one scheduler until SIGTERM."""
+    """Run one scheduler until SIGTERM.
+
+    On SIGHUP the file is read again: discovery's address and the limits take effect at once, a bad file
+    changes nothing, and what else changed is logged as needing a restart.
+    """
     try:
         berth = read_berth(config)
         log = Log(berth.name, each_txn)
         gc.freeze()
-        code = asyncio.run(run(berth, log))
+        code = asyncio.run(run(berth, config, log))
     except ValueError as problem:
         _told(problem)
     sys.exit(code)
--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -17,7 +17,20 @@
 from sableford.net.http import Peer, admit
 from sableford.net.limits import Limits
 from sableford.net.log import Log
-from sableford.net.mail import Clash, Clock, Cut, Fail, Gone, Leave, Mailbox, Refuse, Request, Settle, Shut
+from sableford.net.mail import (
+    Clash,
+    Clock,
+    Cut,
+    Fail,
+    Gone,
+    Leave,
+    Mailbox,
+    Refuse,
+    Renew,
+    Request,
+    Settle,
+    Shut,
+)
 
 ANSWERS = (Settle, Refuse, Fail, Clash)
 
@@ -317,6 +330,8 @@
                 self._resting.pop(client, None)
                 self._reading.pop(client, None)
                 self._clients.pop(client, None)
+            case Renew(limits, _):
+                self.limits = limits
             case Leave() if not self._shut_at:
                 self.log.say("leaving", connections=len(self._clients))
                 self._shut_at = self.clock.now() + self.limits.leave
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -50,6 +50,7 @@
     Moved,
     Place,
     Refuse,
+    Renew,
     Request,
     Settle,
     Told,
@@ -78,6 +79,7 @@
             Back: self._back,
             Looked: self._looked,
             Told: self._told,
+            Renew: self._renew,
             _Died: self._mourn,
             Unheard: lambda message: self._tell(Unfollowed()),
         }
@@ -204,9 +206,7 @@
             self._places[worker] = place = self._places[worker]._replace(ready=False)
             self._worker(worker).mail.put(place)
         if known.keys() != self._latest.keys():
-            lines = max(1, self._limits.lines // max(1, len(self._latest)))
-            for worker in self._latest:
-                self._worker(worker).mail.put(Allot(lines))
+            self._allot()
         for worker in known.keys() | self._latest.keys():
             before, after = known.get(worker), self._latest.get(worker)
             if (before and (before[4], before[6])) != (after and (after[4], after[6])):
@@ -214,6 +214,17 @@
                 self._log.say("worker", worker=worker, standing=standing, since=since)
         self._tell(self._door.roster(sheet, message.complete))
 
+    def _allot(self) -> None:
+        lines = max(1, self._limits.lines // max(1, len(self._latest)))
+        for worker in self._latest:
+            self._worker(worker).mail.put(Allot(lines))
+
+    def _renew(self, message: Renew) -> None:
+        self._limits = message.limits
+        for worker in self._workers.values():
+            worker.mail.put(message)
+        self._allot()
+
     def _worker(self, name: str) -> Worker:
         if (worker := self._workers.get(name)) is None:
             worker = Worker(name, self.mail, self._clock, self._limits, self._charter, self._log)
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -35,6 +35,9 @@
     way: float = 5.0  # taken off a client's time: its way here and the answer's way back
     watch: float = 20_000.0  # a watch of the list waits this long for news
     silence: float = 2000.0  # past a call's own wait, discovery counts as silent
+    call: float = 600.0  # to reach discovery, which is on this machine
+    moving: float = 4000.0  # a new address of discovery may take this long to come up
+    again: float = 100.0  # between two tries at a new address
     last: float = 200.0  # after a failure inside, for the answers owed to go out
     leave: float = 550.0  # after SIGTERM new connections are taken for this long: they come for up to 400
 
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -10,6 +10,7 @@
 
 from sableford.intake.door import Sheet
 from sableford.model import Ending
+from sableford.net.limits import Limits
 
 
 class Clock:
@@ -124,6 +125,16 @@
     """The watch failed, or discovery fell silent."""
 
 
+# From a reload, to the desk, the gate, the roster and the workers
+
+
+class Renew(NamedTuple):
+    """The file was read again: the limits from now on, and where discovery is."""
+
+    limits: Limits
+    discovery: tuple[str, int]
+
+
 # To a client
 
 
--- a/sableford/net/roster.py
+++ b/sableford/net/roster.py
@@ -1,7 +1,7 @@
 """Discovery: one actor that watches the list of workers when the module asks it to.
 
-It owns the watch and the version it has. It must never ask again by itself once a watch has failed, nor judge
-what the list says beyond its form.
+It owns the watch, the version it has, and the move to another address. It must never ask again by itself once
+a watch has failed, but for an address that is new, nor judge what the list says beyond its form.
 """
 
 import asyncio
@@ -15,7 +15,7 @@
 from sableford.net.http import Peer, dial
 from sableford.net.limits import Limits
 from sableford.net.log import Log
-from sableford.net.mail import Mailbox, Told, Unheard
+from sableford.net.mail import Mailbox, Renew, Told, Unheard
 
 
 class Lost(Exception):
@@ -28,18 +28,49 @@
         self._address, self._limits, self._charter, self._log = address, limits, charter, log
         self._revision: int | None = None  # none: the whole list is asked for first
         self._line: Peer | None = None
+        self._moved_at = -1e12  # by the loop's time
 
     async def run(self, desk: Mailbox) -> None:
+        watch: asyncio.Task | None = None
         while True:
-            if any(isinstance(message, Follow) for message in await self.mail.take()):
-                try:
-                    await self._watch(desk)
-                except Exception as problem:
-                    self._log.say("discovery_lost", problem=repr(problem))
-                    if self._line is not None:
-                        self._line.drop()
-                    self._line = None
-                    desk.put(Unheard())
+            for message in await self.mail.take():
+                match message:
+                    case Follow() if watch is None or watch.done():
+                        watch = asyncio.create_task(self._follow(desk))
+                    case Renew(limits, address):
+                        self._limits = limits
+                        if address != self._address:
+                            if watch is not None:
+                                watch.cancel()
+                                await asyncio.wait([watch])
+                            self._move(address)
+                            watch = asyncio.create_task(self._follow(desk))
+
+    def _move(self, address: tuple[str, int]) -> None:
+        """Versions of one agent say nothing of another's: its first list is taken whatever its version."""
+        self._hang_up()
+        self._address, self._revision = address, None
+        self._moved_at = asyncio.get_running_loop().time()
+
+    def _hang_up(self) -> None:
+        if self._line is not None:
+            self._line.drop()
+        self._line = None
+
+    async def _follow(self, desk: Mailbox) -> None:
+        """One watch to its end, which is told; just moved, it is tried anew until the address is up."""
+        while True:
+            try:
+                await self._watch(desk)
+            except Exception as problem:
+                self._hang_up()
+                since = (asyncio.get_running_loop().time() - self._moved_at) * 1000.0
+                if self._revision is None and since < self._limits.moving:
+                    await asyncio.sleep(self._limits.again / 1000.0)
+                    continue
+                self._log.say("discovery_lost", problem=repr(problem))
+                desk.put(Unheard())
+                return
 
     async def _watch(self, desk: Mailbox) -> None:
         """Call again at once after each answer; ends only by failing."""
@@ -68,7 +99,8 @@
         limits, body = self._limits, bytearray()
         async with asyncio.timeout((wait + limits.silence) / 1000.0):
             if self._line is None or not self._line.usable():
-                self._line = await dial(self._address, limits)
+                async with asyncio.timeout(limits.call / 1000.0):
+                    self._line = await dial(self._address, limits)
             host = b"%s:%d" % (self._address[0].encode(), self._address[1])
             self._line.write(
                 h11.Request(method=b"GET", target=target, headers=[(b"host", host)]), h11.EndOfMessage()
--- a/sableford/net/workers.py
+++ b/sableford/net/workers.py
@@ -28,6 +28,7 @@
     Mailbox,
     Moved,
     Place,
+    Renew,
     Request,
     Withdraw,
 )
@@ -59,6 +60,7 @@
             Withdraw: self._withdraw,
             Place: self._settle,
             Allot: self._allot,
+            Renew: self._renew,
             _Free: self._free,
         }
 
@@ -109,6 +111,9 @@
     def _allot(self, message: Allot) -> None:
         self._allotted = message.lines
 
+    def _renew(self, message: Renew) -> None:
+        self._limits = message.limits
+
     def _free(self, message: "_Free") -> None:
         self._errands.pop(message.key, None)
         self._using -= _was_granted(message.turn)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -18,7 +18,7 @@
     take t1 quote left=900m on=c      a client posts t1, on a connection of its own or on c
     say t1 started|running|done TEXT|failed|returned|lost|STATUS HEADER|text LINE|end|cut
     list A phase=leaving | list whole A | list old A | agent mute|speak|drop
-    raw c BYTES | hangup c | sigterm | fail | files 1 | wait 20
+    raw c BYTES | hangup c | sigterm | reload [torn] KEY=VALUE | fail | files 1 | wait 20
     told: at A t1 LINE BODY | closed A t1 | answer t1 200 BODY | closed c | watch 3 | whole | log EVENT
     ends 0 | probe A | copy t1 (two at once at workers)
 """
@@ -36,6 +36,7 @@
 from fnmatch import fnmatchcase
 from functools import partial
 from heapq import heappop, heappush
+from pathlib import Path
 
 from sableford.logic import Scheduler
 from sableford.model import (
@@ -294,7 +295,9 @@
         self.waiting: dict[str, list[str]] = {}  # by client: the txns sent on it
         self.fillers: list[socket.socket] = []
         self.running: asyncio.Task | None = None
-        self.place = ""
+        self.place, self.berth, self.agents = "", {}, []
+        self.folder = tempfile.TemporaryDirectory()
+        self.file = Path(self.folder.name, "berth.json")
         self.taken: list[int] = []
         self.granted = resource.getrlimit(resource.RLIMIT_NOFILE)
 
@@ -309,7 +312,7 @@
     # The scheduler
 
     async def open(self) -> None:
-        discovery = await asyncio.start_server(self.discovery, "127.0.7.1", 0)
+        place = await self.agent()
         with socket.socket() as free:
             free.bind(("127.0.7.2", 0))
             self.place = f"127.0.7.2:{free.getsockname()[1]}"
@@ -340,8 +343,7 @@
             "zones": ["here", "there"],
             "skus": ["box"],
         }
-        place = "{}:{}".format(*discovery.sockets[0].getsockname())
-        berth = {
+        self.berth = {
             "name": "n0",
             "listen": self.place,
             "discovery": place,
@@ -350,15 +352,18 @@
             "known": self.listing(self.listed, True),
             "settings": settings,
         }
-        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
-            json.dump(berth, file)
-            file.flush()
-            read = read_berth(file.name)
+        self.file.write_text(json.dumps(self.berth))
+        read = read_berth(str(self.file))
         read = read._replace(limits=read.limits._replace(**self.limits))
-        self.running = asyncio.create_task(run(read, Log("n0", sink=self)))
+        self.running = asyncio.create_task(run(read, str(self.file), Log("n0", sink=self)))
         self.running.add_done_callback(lambda task: self.told.append(f"ends {task.result()}"))
         await self.until("watch *")
 
+    async def agent(self) -> str:
+        """Another discovery with the same list; where it listens."""
+        self.agents.append(await asyncio.start_server(self.discovery, "127.0.7.1", 0))
+        return "{}:{}".format(*self.agents[-1].sockets[0].getsockname())
+
     def listing(self, names: Iterable[str], whole: bool) -> dict:
         members = [self.listed[name] for name in names]
         return {"revision": self.revision, "complete": whole, "members": members}
@@ -532,6 +537,18 @@
     async def do_sigterm(self) -> None:
         os.kill(os.getpid(), signal.SIGTERM)
 
+    async def do_reload(self, *rest: str) -> None:
+        """SIGHUP, with `KEY=VALUE` new in the file: `discovery=anew` another agent, or `torn`."""
+        for key, _, value in (word.partition("=") for word in rest):
+            if value == "anew":
+                self.agents[-1].close()
+                self.watchers.clear()
+                value = await self.agent()
+            self.berth[key] = {"sockets": int(value)} if key == "limits" else value
+        text = json.dumps(self.berth)
+        self.file.write_text(text[:100] if "torn" in rest else text)
+        os.kill(os.getpid(), signal.SIGHUP)
+
     async def do_fail(self) -> None:
         """The module fails at its next event."""
         real = Scheduler.handle
@@ -589,6 +606,7 @@
                 raise AssertionError(f"line {number}: {type(problem).__name__}: {problem}") from problem
     finally:
         await scene.do_files("all")
+        scene.folder.cleanup()
 
 
 async def heard(reader: asyncio.StreamReader) -> bytes:
