Bound client connections by what they have done: times, bytes, refusals, room

By reading: a connection that says nothing lived for 120 s, one that drips for 10 s; a reader could hold 320 kB a connection, whatever memory was granted; at the limit each message to the gate closed one more resting connection while the first was still closing; bodies of refused requests were stored. At fault: Client._patience and _bytes, Gate._make_room, Peer's reads, the one log line for each refusal. Change: the first request counts from the connection's start (2 s), later ones from their first byte; a request turned away pauses its connection for 100 ms, and one that brings nothing else is closed after its opening; what the head tells is judged before a byte of the body is stored; larger bodies need room from the gate, which is derived from memory_mb; after a closing answer at most 256 kB are read; at the limit lingering, silent and slow connections go before resting ones, and those that close are counted. Refusals are counted in one line a second. Clients get 55% of the descriptors.

--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -34,6 +34,7 @@
 
 class _Granted(msgspec.Struct):
     sockets: int
+    memory_mb: float
 
 
 class _Text(msgspec.Struct):
@@ -109,5 +110,5 @@
                 found.append(wire.address(where))
             except ValueError as problem:
                 raise ValueError(f"{path}: {field}: {problem}") from problem
-    limits = granted(text.limits.sockets, charter.idle, charter.connect)
+    limits = granted(text.limits.sockets, text.limits.memory_mb, charter.idle, charter.connect)
     return Berth(text.name, places[0], places[1], text.seed, bytes(text.known), charter, limits, tuple(filed))
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -28,6 +28,8 @@
     listener = socket.socket(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # What a connection may hold unread is bounded there too, and handed down to each.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, berth.limits.chunk)
         listener.bind(berth.listen)
         listener.listen(berth.limits.backlog)
     except OSError as problem:
--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -1,11 +1,13 @@
 """Connections from clients: the gate that accepts them and one actor for each.
 
-It owns that a request is read whole, checked for form and answered once on the connection it came on. It must
-never answer 429 or 503 of its own accord, which are words of the desk, nor close over bytes that lie unread.
+It owns that a request is read whole, checked for form and answered once on the connection it came on, and
+which connections go when room is short. It must never answer 429 or 503 of its own accord, which are words
+of the desk, nor close over bytes that lie unread, nor store what it is going to refuse.
 """
 
 import asyncio
 import socket
+from collections import Counter
 from contextlib import suppress
 from http import HTTPStatus
 from typing import NamedTuple
@@ -28,6 +30,7 @@
     Refuse,
     Renew,
     Request,
+    Room,
     Settle,
     Shut,
 )
@@ -40,7 +43,7 @@
 
     def __init__(self, status: int, why: str) -> None:
         super().__init__(why)
-        self.status = status
+        self.status, self.why = status, why
 
 
 class Client:
@@ -52,12 +55,14 @@
         self._charter, self._log, self._leaving = gate.charter, gate.log, leaving
         self._peer: Peer | None = None
         self._head: h11.Request | None = None
-        self._body = bytearray()
-        self._since = self._clock.now()  # of the rest, the request's first byte, or the lingering
+        self._fault: Malformed | None = None  # of a request whose framing is sound: it is read past
+        self._body, self._size = bytearray(), 0
+        self._since = self._clock.now()  # of the opening, the rest, a request's first byte, or the lingering
+        self._proved = False  # something that came on it was not refused
         self._taken: Request | None = None
-        self._reading = self._lingering = self._asked = self._over = False
+        self._reading = self._lingering = self._asked = self._over = self._waits = self._graced = False
+        self._resume_at, self._soaked = 0.0, 0
         self._hungry = asyncio.Event()
-        self._hungry.set()
 
     async def run(self, sock: socket.socket) -> None:
         feeder = None
@@ -91,14 +96,23 @@
             self._gate.put(Closed(self))
 
     async def _feed(self) -> None:
-        """Bytes go into the mailbox as they come; past a whole request only as much as one read holds."""
+        """Bytes go into the mailbox one read at a time, the next when the last was used up."""
         while data := await self._peer.more():
+            self._hungry.clear()
             self.mail.put(data)
-            if self._peer.state.trailing_data[0] and self._taken is not None:
-                self._hungry.clear()
             await self._hungry.wait()
         self.mail.put(b"")
 
+    def _feed_on(self) -> None:
+        """Read on: past a whole request as much as one read holds, after the last word its limit."""
+        pending = self._peer.state.trailing_data[0]
+        if self._lingering:
+            enough = self._soaked > self._limits.soak
+        else:
+            enough = self._waits or (pending and (self._taken is not None or self._resume_at > 0.0))
+        if not enough:
+            self._hungry.set()
+
     async def _drain(self) -> None:
         """A slow reader is waited for, within its limit."""
         try:
@@ -110,17 +124,34 @@
     def _patience(self) -> float | None:
         if self._taken is not None:
             return None
+        return max(0.0, (self._resume_at or self._since + self._span()) - self._clock.now())
+
+    def _span(self) -> float:
+        """How long it may stay as it is; until something was served, from the connection's start on."""
         limits = self._limits
-        span = limits.linger if self._lingering else limits.slow if self._reading else limits.idle
-        return max(0.0, self._since + span - self._clock.now())
+        if self._lingering:
+            return limits.linger
+        if not self._proved:
+            return limits.opening
+        return limits.slow if self._reading else limits.idle
 
     async def _tire(self) -> None:
-        """Nothing came for too long."""
-        if self._reading and not self._lingering:
-            self._reject(408, "the request took too long")
+        """Nothing came for too long, or the pause after a refusal is over."""
+        if self._resume_at:
+            self._resume_at = 0.0
+            self._advance()
+        elif self._lingering:
+            self._over = True
+        elif not await self._quiet() and not self._graced:
+            # What lay in the kernel as the time was up may be the rest of the request: it is read first.
+            self._graced, self._since = True, self._since + self._limits.hurry
+        elif self._reading:
+            self._reject(408, "too slow")
             await self._drain()
-        elif self._lingering or await self._quiet():
+        else:
             self._over = True
+        if not self._over:
+            self._feed_on()
 
     async def _quiet(self) -> bool:
         """Whether nothing has come: in the kernel, with the feeder, or in the mailbox."""
@@ -132,100 +163,151 @@
             self._bytes(message)
         elif isinstance(message, ANSWERS):
             self._answer(message)
+        elif isinstance(message, Room):
+            self._waits = False
+            if message.granted:
+                self._advance()
+            else:
+                self._reject(507, "no room for the body")
         elif isinstance(message, Leave):
             self._leaving = True
         elif isinstance(message, Shut):
             self._asked = True
-        elif isinstance(message, Cut) and self._reading and self._taken is None and not self._lingering:
-            self._reject(408, "others wait")
+        elif isinstance(message, Cut) and self._taken is None:
+            if self._lingering:
+                self._over = True
+            elif self._reading:
+                self._reject(408, "others wait")
+        if not self._over:
+            self._feed_on()
 
     def _resting(self) -> bool:
         return self._taken is None and not self._reading
 
     def _bytes(self, data: bytes) -> None:
-        if not data and self._taken is not None:
-            self._desk.put(Gone(self._taken))
+        if not data:
+            if self._taken is not None:
+                self._desk.put(Gone(self._taken))
             self._taken, self._over = None, True
-        elif not data:
-            self._over = True
-        elif not self._lingering:
+        elif self._lingering:
+            self._soaked += len(data)
+        else:
             if self._resting():
-                self._reading, self._since = True, self._clock.now()
-                self._gate.put(Busy(self))
+                self._begin()
             self._peer.state.receive_data(data)
-            self._advance()
+            if not self._resume_at and not self._waits:
+                self._advance()
+
+    def _begin(self) -> None:
+        """A request has begun to come."""
+        self._reading = True
+        if (
+            self._proved
+        ):  # the first one's time counts from the connection's start: dripping stretches nothing
+            self._since, self._graced = self._clock.now(), False
+        self._gate.put(Busy(self))
 
     def _advance(self) -> None:
         """Read on to the end of one request."""
         state = self._peer.state
         try:
-            while self._taken is None and not self._lingering and not self._over:
+            while not (self._taken or self._lingering or self._over or self._waits or self._resume_at):
                 event = state.next_event()
                 if isinstance(event, h11.Request):
-                    self._head, self._body = event, bytearray()
-                    self._one_reading(event)
-                    if int(dict(event.headers).get(b"content-length", b"0")) > self._limits.body:
-                        raise Malformed(413, "the body is too long")
-                    if state.they_are_waiting_for_100_continue:
-                        self._peer.write(h11.InformationalResponse(status_code=100, headers=[]))
+                    self._open(event)
                 elif isinstance(event, h11.Data):
-                    self._body += event.data
-                    if len(self._body) > self._limits.body:
+                    self._size += len(event.data)
+                    if self._size > self._limits.body:
                         raise Malformed(413, "the body is too long")
+                    if self._fault is None:
+                        self._body += event.data
                 elif isinstance(event, h11.EndOfMessage):
                     self._dispatch()
                 else:
                     return
         except h11.RemoteProtocolError as problem:
-            self._reject(problem.error_status_hint, str(problem))
+            told = {431: "the head is too long", 501: "unknown coding"}
+            self._reject(problem.error_status_hint, told.get(problem.error_status_hint, "can't be read"))
         except Malformed as problem:
-            self._reject(problem.status, str(problem))
+            self._reject(problem.status, problem.why)
 
-    def _one_reading(self, head: h11.Request) -> None:
-        """The head has one meaning to every reader, or goes no further."""
+    def _open(self, head: h11.Request) -> None:
+        """All that the head alone tells, before any of the body is stored."""
+        if not self._reading:  # it came in one read with the one before
+            self._begin()
+        self._head, self._body, self._size, self._fault = head, bytearray(), 0, None
         names = [name for name, _ in head.headers]
         # Both say where the body ends: by one of them a whole other request stood inside it, and went on.
         if wire.CODING in names and (wire.LENGTH in names or head.http_version < b"1.1"):
             raise Malformed(400, "two lengths")
         if any(names.count(name) > 1 for name in wire.ONCE):
             raise Malformed(400, "a header twice")
-
-    def _dispatch(self) -> None:
-        path = self._head.target.partition(b"?")[0]
+        told = dict(head.headers)
+        size = int(told.get(wire.LENGTH, b"0"))
+        if size > self._limits.body:
+            raise Malformed(413, "the body is too long")
         try:
-            if path == wire.READY:
-                if self._head.method not in (b"GET", b"HEAD"):
-                    raise Malformed(405, "method")
-                self._respond(503 if self._leaving else 200, b"", ())
-            elif path != wire.JOB_PATH and not path.startswith(wire.JOB_PATH + b"/"):
-                raise Malformed(404, "no such path")
-            elif self._head.method != wire.JOB_METHOD:
-                raise Malformed(405, "method")
-            else:
-                self._take()
+            self._check(head.method, head.target.partition(b"?")[0], told)
         except Malformed as problem:
-            self._log.say("bad_request", status=problem.status, why=str(problem))
-            self._respond(problem.status, str(problem).encode(), ())
+            self._fault = problem
+        if self._peer.state.they_are_waiting_for_100_continue:
+            if self._fault is not None:
+                raise self._fault
+            self._peer.write(h11.InformationalResponse(status_code=100, headers=[]))
+        most = self._limits.body if wire.CODING in names else size
+        if self._fault is None and most > self._limits.small:
+            self._waits = True
+            self._gate.put(Want(self, most))
+
+    def _check(self, method: bytes, path: bytes, told: dict[bytes, bytes]) -> None:
+        """Whether a request of this form can be taken at all."""
+        if path == wire.READY:
+            if method not in (b"GET", b"HEAD"):
+                raise Malformed(405, "method")
+            return
+        if path != wire.JOB_PATH and not path.startswith(wire.JOB_PATH + b"/"):
+            raise Malformed(404, "no such path")
+        if method != wire.JOB_METHOD:
+            raise Malformed(405, "method")
+        if not wire.sensible_id(told.get(wire.ID, b"")):
+            raise Malformed(400, "no sensible id")
+        if told.get(wire.SCHEME, b"").decode("latin-1") not in self._charter.schemes:
+            raise Malformed(400, "unknown class")
+        left = wire.time_left(told.get(wire.TIME_LEFT, b""))
+        if left is None or not 0.0 < left <= self._limits.longest:
+            raise Malformed(400, "no sensible time left")
+
+    def _dispatch(self) -> None:
+        if self._fault is not None:
+            self._turn_away(self._fault.status, self._fault.why)
+        elif self._head.target.partition(b"?")[0] == wire.READY:
+            self._proved = True
+            self._respond(503 if self._leaving else 200, b"", ())
+        else:
+            self._take()
+
+    def _turn_away(self, status: int, why: str) -> None:
+        """A plain 4xx where the framing is sound; who sends nothing else is closed after the opening."""
+        now, limits = self._clock.now(), self._limits
+        self._asked |= not self._proved and now >= self._since + limits.opening
+        # Those who send the same again at once took the core from all others.
+        self._resume_at = now + limits.pause
+        self._gate.put(Turned(status, why))
+        self._respond(status, why.encode(), ())
 
     def _take(self) -> None:
         """A whole request: from here on one answer is owed."""
         now, head = self._clock.now(), self._head
         told = dict(head.headers)
-        if not (name := told.get(wire.ID, b"")) or len(name) > 256:
-            raise Malformed(400, "no sensible id")
-        scheme = told.get(wire.SCHEME, b"").decode("latin-1")
-        if scheme not in self._charter.schemes:
-            raise Malformed(400, "unknown class")
-        if (left := wire.time_left(told.get(wire.TIME_LEFT, b""))) is None:
-            raise Malformed(400, "no sensible time left")
-        pass_on = [pair for pair in head.headers.raw_items() if pair[0].lower() not in wire.OWN_HEADERS]
+        scheme, left = told[wire.SCHEME].decode("latin-1"), wire.time_left(told[wire.TIME_LEFT])
+        pass_on = wire.passed_on(head.headers.raw_items())
         request = Request(self.mail, head.method, head.target, pass_on, bytes(self._body))
-        facts = wire.pairs(told.get(wire.FACTS, b""))
-        request.id, request.scheme = name, self._charter.schemes.index(scheme)
+        self._body = bytearray()
+        request.id, request.scheme = told[wire.ID], self._charter.schemes.index(scheme)
         request.expiry = now + left - self._limits.way
-        request.slots, request.memory = facts.get("slots", 1.0) or 1.0, facts.get("mem_needed", 0.0)
+        request.slots, request.memory = wire.facts(told.get(wire.FACTS, b""))
         if self._log.each_txn:
-            self._log.say("took", id=name, scheme=scheme, left=left, facts=facts, target=head.target)
+            self._log.say("took", id=request.id, scheme=scheme, left=left, target=head.target)
         self._taken = request
         self._gate.put(Whole(self))
         self._desk.put(request)
@@ -234,7 +316,7 @@
         """The desk's word on what was taken, and on nothing else that came on this connection."""
         if message.request is not self._taken:
             return
-        self._taken = None
+        self._taken, self._proved = None, self._proved or not isinstance(message, Clash)
         match message:
             case Settle(_, result):
                 self._respond(wire.SETTLED, result, ())
@@ -244,9 +326,9 @@
             case Fail():
                 self._respond(wire.REVERSED, b"", ())
             case Clash():
-                self._respond(wire.CLASH, b"", ())
-        self._hungry.set()
-        self._advance()
+                self._turn_away(wire.CLASH, "an id under way")
+        if not self._resume_at:
+            self._advance()
 
     def _respond(self, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...]) -> None:
         """Write one whole answer, and be ready for the next request."""
@@ -258,28 +340,36 @@
         data = () if bare else (h11.Data(data=body),)
         reason = HTTPStatus(status).phrase.encode()
         peer.write(h11.Response(status_code=status, headers=more, reason=reason), *data, h11.EndOfMessage())
-        self._reading, self._since, self._head = False, self._clock.now(), None
+        self._reading, self._head, self._body = False, None, bytearray()
+        if self._proved:
+            self._since, self._graced = self._clock.now(), False
         if self._lingering:
             return
         if peer.next_cycle():
-            if peer.state.trailing_data[0]:
-                self._reading = True
-            else:
-                self._gate.put(Resting(self))
+            self._gate.put(Resting(self))
+        elif peer.state.trailing_data[0] or peer.unread():
+            self._linger()  # a reset over what lies there would overtake the answer
         else:
             self._over = True
 
     def _reject(self, status: int, why: str) -> None:
         """The framing is lost or the request cut short: answer, then read on a little and close."""
-        self._log.say("bad_request", status=status, why=why)
-        self._lingering, self._since = True, self._clock.now()
+        self._gate.put(Turned(status, why))
+        self._lingering = True
         if self._peer.state.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._respond(status, why.encode(), ())
-        self._peer.writer.write_eof()
+        self._linger()
+
+    def _linger(self) -> None:
+        self._lingering, self._since, self._resume_at, self._waits = True, self._clock.now(), 0.0, False
+        self._body = bytearray()
+        self._gate.put(Lingering(self))
+        if not self._peer.writer.transport.is_closing():
+            self._peer.writer.write_eof()
 
 
 class Gate:
-    """Accepts connections within the limit, and closes the door at the end."""
+    """Accepts connections within the limit, makes room in it, and closes the door at the end."""
 
     def __init__(
         self, listener: socket.socket, desk: Mailbox, clock: Clock, limits: Limits, charter: Charter, log: Log
@@ -288,8 +378,15 @@
         self.limits, self.charter, self.log = limits, charter, log
         self._listener = listener
         self._clients: dict[Client, asyncio.Task] = {}
-        self._resting: dict[Client, None] = {}
-        self._reading: dict[Client, float] = {}  # with a request that has begun to come, since when
+        # By what each has done, since when; in every one the oldest stands first.
+        self._silent: dict[Client, float] = {}  # connected, nothing came
+        self._reading: dict[Client, float] = {}  # a request has begun to come
+        self._resting: dict[Client, float] = {}  # answered
+        self._lingering: dict[Client, float] = {}  # has its last answer
+        self._ending: set[Client] = set()  # told to close
+        self._bodies: dict[Client, int] = {}  # bytes granted
+        self._turned: Counter[str] = Counter()
+        self._told_at = 0.0
         self._space = asyncio.Event()
         self._space.set()
         self._shut_at = 0.0
@@ -298,64 +395,103 @@
         """Until asked to leave and the last client has its answer."""
         acceptor = asyncio.create_task(self._accept())
         while not (self._shut_at and acceptor.done() and self.mail.empty()) or self._clients:
-            leaving = self._shut_at > 0.0 and not acceptor.done()
-            within = max(0.0, self._shut_at - self.clock.now()) if leaving else None
-            if not self._space.is_set() and self._reading:
-                within = min(within or self.limits.hurry, self.limits.hurry)
-            for message in await self.mail.take(within):
+            for message in await self.mail.take(self._until_due(acceptor)):
                 self._hear(message)
             self._make_room()
+            self._tell_turned()
             if self._shut_at and self.clock.now() >= self._shut_at and not acceptor.done():
                 acceptor.cancel()
                 await asyncio.wait([acceptor])
                 self._close()
 
+    def _until_due(self, acceptor: asyncio.Task) -> float | None:
+        now, due = self.clock.now(), []
+        if self._shut_at and not acceptor.done():
+            due.append(self._shut_at - now)
+        if not self._space.is_set():
+            due.append(self.limits.hurry / 4.0)
+        if self._turned:
+            due.append(self._told_at + self.limits.count - now)
+        return max(0.0, min(due)) if due else None
+
     def _hear(self, message: object) -> None:
+        now = self.clock.now()
         match message:
             case socket.socket():
                 client = Client(self, leaving=self._shut_at > 0.0)
                 self._clients[client] = asyncio.create_task(client.run(message))
-                self._resting[client] = None
+                self._silent[client] = now
                 self._shut(client)
             case Busy(client):
-                self._resting.pop(client, None)
-                self._reading[client] = self.clock.now()
+                self._move(client, self._reading)
             case Whole(client):
-                self._reading.pop(client, None)
+                self._move(client, None)
             case Resting(client):
-                self._reading.pop(client, None)
-                self._resting[client] = None
+                self._move(client, self._resting)
+                self._bodies.pop(client, None)
                 self._shut(client)
+            case Lingering(client):
+                self._move(client, self._lingering)
+                self._bodies.pop(client, None)
             case Closed(client):
-                self._resting.pop(client, None)
-                self._reading.pop(client, None)
+                self._move(client, None)
+                self._ending.discard(client)
+                self._bodies.pop(client, None)
                 self._clients.pop(client, None)
+            case Want(client, size):
+                granted = sum(self._bodies.values()) + size <= self.limits.bodies
+                if granted:
+                    self._bodies[client] = size
+                client.mail.put(Room(granted))
+            case Turned(status, why):
+                self._turned[f"{status} {why}"] += 1
             case Renew(limits, _):
                 self.limits = limits
             case Leave() if not self._shut_at:
                 self.log.say("leaving", connections=len(self._clients))
-                self._shut_at = self.clock.now() + self.limits.leave
+                self._shut_at = now + self.limits.leave
                 for client in self._clients:
                     client.mail.put(Leave())
 
+    def _move(self, client: Client, to: dict[Client, float] | None) -> None:
+        for group in (self._silent, self._reading, self._resting, self._lingering):
+            group.pop(client, None)
+        if to is not None:
+            to[client] = self.clock.now()
+
     def _make_room(self) -> None:
-        """At the limit idle connections go first, then slow senders; then new ones wait in the backlog.
+        """At the limit what has done the least goes first; then new ones wait in the backlog.
 
-        A whole request in the backlog counts as taken: behind slow senders it waited past its time.
+        Those that linger have their answer. Usual clients send at once: who connected and stayed silent for a
+        while, or began and did not end, goes before who rests between two requests and can send elsewhere.
         """
-        over = len(self._clients) + 1 - self.limits.clients
-        if over <= 0:
+        if len(self._clients) < self.limits.clients:
             self._space.set()
-            return
-        self._space.clear()
-        for client in list(self._resting)[:over]:
-            del self._resting[client]
-            client.mail.put(Shut())
-            over -= 1
+        else:
+            self._space.clear()
+        # Closing takes a moment: counted anew at each message, it closed more and more.
+        over = len(self._clients) - len(self._ending) + 1 - self.limits.clients
         late = self.clock.now() - self.limits.hurry
-        for client in [client for client, since in self._reading.items() if since <= late][:over]:
-            del self._reading[client]
-            client.mail.put(Cut())
+        for group, word, by in (
+            (self._lingering, Cut(), late),
+            (self._silent, Shut(), late),
+            (self._reading, Cut(), late),
+            (self._resting, Shut(), float("inf")),
+        ):
+            if over <= 0:
+                return
+            for client in [client for client, since in group.items() if since <= by][:over]:
+                del group[client]
+                self._ending.add(client)
+                client.mail.put(word)
+                over -= 1
+
+    def _tell_turned(self) -> None:
+        """What was turned away is counted: told one by one it was the dearest part of a flood."""
+        if self._turned and (self._shut_at or self.clock.now() - self._told_at >= self.limits.count):
+            self.log.say("bad_requests", number=self._turned.total(), why=dict(self._turned))
+            self._turned.clear()
+            self._told_at = self.clock.now()
 
     def _shut(self, client: Client) -> None:
         """Past the time to leave nothing more is awaited on a resting connection."""
@@ -391,7 +527,7 @@
             except OSError:
                 break
         self._listener.close()
-        for client in self._resting:
+        for client in [*self._silent, *self._resting]:
             client.mail.put(Shut())
 
 
@@ -414,7 +550,27 @@
     client: Client
 
 
+class Lingering(NamedTuple):
+    """It has its last answer."""
+
+    client: Client
+
+
 class Closed(NamedTuple):
     """The connection is gone."""
 
     client: Client
+
+
+class Want(NamedTuple):
+    """A body of so many bytes is to come."""
+
+    client: Client
+    size: int
+
+
+class Turned(NamedTuple):
+    """A request got a plain 4xx or 5xx."""
+
+    status: int
+    why: str
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -7,9 +7,9 @@
 
 OWN = 16  # descriptors: the listener, discovery, the loop's own, the log; some nine are used
 CLOSING_PART = 32  # one in so many is kept for what is just closing
-CLIENT_PART = (
-    0.45  # of the rest: a txn needs one socket to each side, and one called off keeps its own a while
-)
+CLIENT_PART = 0.55  # of the rest: txns may take a third of all on either side, silent clients what is over
+PROCESS = 24  # MB of the process itself, with every connection at what it may hold unasked
+BODY_PART = 0.5  # of the memory beyond that: a body is held twice while it is handed on
 
 
 class Limits(NamedTuple):
@@ -23,10 +23,17 @@
     head: int = 16_384  # request line and headers
     word: int = 524_288  # one line of a worker's stream: a body whose every byte is escaped
     listing: int = 4_194_304  # one answer of discovery: some ten thousand workers
-    chunk: int = 32_768  # read from a socket at once; a reader holds twice this at most
+    bodies: int = 16_777_216  # of requests under way, over what each may hold unasked
+    small: int = 4096  # a body that needs no room granted; most txns are smaller
+    soak: int = 262_144  # read and thrown away after an answer that closes; then the sender has to wait
+    chunk: int = 16_384  # read from a socket at once; a reader holds twice this and the kernel's once
     backlog: int = 1024  # connections that wait to be accepted
-    slow: float = 10_000.0  # for a whole request from its first byte on, and for a client to take its answer
-    hurry: float = 1000.0  # the same where the limit on clients is reached and others wait
+    opening: float = 2000.0  # from the connection's start until a first request is whole, and one is served
+    slow: float = 2000.0  # for a later one from its first byte on, and for a client to take its answer
+    hurry: float = 200.0  # the same where the limit on clients is reached and others wait
+    pause: float = 100.0  # after a request turned away, before the next on the connection is looked at
+    longest: float = 3_600_000.0  # a time left past this is senseless
+    count: float = 1000.0  # between two lines of the log on requests turned away
     late: float = 100.0  # a wake-up later than this goes to the log: the core is not ours enough
     idle: float = 120_000.0  # a client's connection between requests
     linger: float = 1000.0  # reading on after an answer that cut a request short, lest a reset overtake it
@@ -42,14 +49,17 @@
     leave: float = 550.0  # after SIGTERM new connections are taken for this long: they come for up to 400
 
 
-def granted(sockets: int, idle: float, connect: float) -> Limits:
-    """Divide the descriptors: most of the idle time of a worker is used, and none of its end.
+def granted(sockets: int, memory_mb: float, idle: float, connect: float) -> Limits:
+    """Divide the descriptors and the memory: most of the idle time of a worker is used, and none of its end.
 
     A reserve of one size left clients eleven of 90, and each of their connections was closed for another.
 
-    >>> granted(1024, 5000.0, 250.0)[:2], granted(90, 5000.0, 250.0)[:2]
-    ((439, 537), (32, 40))
+    >>> granted(1024, 192, 5000.0, 250.0)[:2], granted(90, 40, 5000.0, 250.0)[:2]
+    ((536, 440), (39, 33))
+    >>> granted(256, 32, 5000.0, 250.0).bodies, granted(256, 16, 5000.0, 250.0).bodies
+    (4194304, 1048576)
     """
     free = max(16, sockets - OWN - sockets // CLOSING_PART)
     clients = int(free * CLIENT_PART)
-    return Limits(clients=clients, lines=free - clients, keep=0.6 * idle, connect=connect)
+    bodies = int(max(1.0, (memory_mb - PROCESS) * BODY_PART) * 1_048_576)
+    return Limits(clients=clients, lines=free - clients, keep=0.6 * idle, connect=connect, bodies=bodies)
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -171,7 +171,13 @@
 
 
 class Cut(NamedTuple):
-    """Others wait: close if a request has begun to come and is not whole."""
+    """Others wait: close if a request has begun to come and is not whole, or the last answer was given."""
+
+
+class Room(NamedTuple):
+    """Whether a body may come as large as was asked for."""
+
+    granted: bool
 
 
 # To a worker
--- a/sableford/net/wire.py
+++ b/sableford/net/wire.py
@@ -4,6 +4,7 @@
 """
 
 import re
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -35,6 +36,9 @@
     "load_share": "util",
     "err_ps": "eps",
 }
+_ID = re.compile(rb"[\x21-\x7e]{1,256}")
+_PLAIN = re.compile(rb"[\t\x20-\x7e]*")
+MOST_SLOTS = 1e6  # a txn that says it needs more says nothing
 _TIME = re.compile(rb"(\d{1,12}(?:\.\d{1,6})?)([mu])")
 
 
@@ -48,6 +52,38 @@
     return float(found[1]) * (1.0 if found[2] == b"m" else 0.001) if found else None
 
 
+def sensible_id(text: bytes) -> bool:
+    return _ID.fullmatch(text) is not None
+
+
+def facts(text: bytes) -> tuple[float, float]:
+    """The slots and the memory that a txn says it needs; what is senseless counts as not said.
+
+    >>> facts(b"slots=2,mem_needed=1.5"), facts(b"slots=-2,mem_needed=-1"), facts(b"slots=nan,x"), facts(b"")
+    ((2.0, 1.5), (1.0, 0.0), (1.0, 0.0), (1.0, 0.0))
+    """
+    found = pairs(text)
+    slots, memory = found.get("slots", 1.0), found.get("mem_needed", 0.0)
+    return slots if 0.0 < slots <= MOST_SLOTS else 1.0, memory if 0.0 <= memory <= MOST_SLOTS else 0.0
+
+
+def passed_on(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    """What goes on to a worker: not what is of one connection alone, nor what a strict reader can't read.
+
+    >>> passed_on([(b"Connection", b"X-Hop"), (b"x-hop", b"1"), (b"X-Odd", b"\\xe9"), (b"Accept", b"*/*")])
+    [(b'Accept', b'*/*')]
+    """
+    given = list(headers)
+    named = {
+        word.strip().lower()
+        for name, value in given
+        if name.lower() == b"connection"
+        for word in value.split(b",")
+    }
+    kept = OWN_HEADERS | (named - {ID})
+    return [pair for pair in given if pair[0].lower() not in kept and _PLAIN.fullmatch(pair[1])]
+
+
 def left(milliseconds: float) -> bytes:
     return b"%dm" % max(1, int(milliseconds))
 
--- a/tests/command.py
+++ b/tests/command.py
@@ -15,7 +15,7 @@
     "listen": "127.0.7.9:0",
     "discovery": "127.0.7.9:1",
     "seed": "1",
-    "limits": {"sockets": 64},
+    "limits": {"sockets": 64, "memory_mb": 64},
     "known": {"revision": 1, "complete": True, "members": []},
     "settings": PROFILE,
 }
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -73,6 +73,7 @@
 from sableford.net.log import Log
 
 START = 1_000_000.0
+AGAIN = "POST /api HTTP/1.1\\r\\nHost: x\\r\\nX-Correlation-Id: t\\r\\nContent-Length: 0\\r\\n\\r\\n"
 
 
 def options(words: Iterable[str]) -> dict[str, float]:
@@ -348,7 +349,7 @@
             "listen": self.place,
             "discovery": place,
             "seed": "5eed",
-            "limits": {"sockets": int(told["sockets"])},
+            "limits": {"sockets": int(told["sockets"]), "memory_mb": 64},
             "known": self.listing(self.listed, True),
             "settings": settings,
         }
@@ -493,7 +494,13 @@
             await self.send(facts.get("on", txn), txn, head.encode() + body)
 
     async def do_raw(self, name: str, *rest: str) -> None:
-        text = " ".join(rest).replace("*9000", "9" * 9000).replace("*70000", "9" * 70_000)
+        text = (
+            " ".join(rest)
+            .replace("*9000", "9" * 9000)
+            .replace("*70000", "9" * 70_000)
+            .replace("*many", "9" * 2_000_000)
+        )
+        text = text.replace("*again", AGAIN * 100)
         for one in spread(name):
             await self.send(one, None, text.encode().decode("unicode_escape").encode("latin-1"))
 
@@ -544,7 +551,7 @@
                 self.agents[-1].close()
                 self.watchers.clear()
                 value = await self.agent()
-            self.berth[key] = {"sockets": int(value)} if key == "limits" else value
+            self.berth[key] = {"sockets": int(value), "memory_mb": 64} if key == "limits" else value
         text = json.dumps(self.berth)
         self.file.write_text(text[:100] if "torn" in rest else text)
         os.kill(os.getpid(), signal.SIGHUP)
