Asked to end, a scheduler serves open connections for 2.5 s more

Checked in the log with each txn: one scheduler had ended at 16.1 s and was back at 18.2 s; the other got SIGTERM at 16.5 s, closed its resting connections at 17.1 s and took nothing from then on, with all its workers well. Ruled out: the module (no posting ended badly), discovery (heard within 1 ms of each reload). At fault: Gate._close, which shut every resting connection 550 ms after SIGTERM, and Client._respond, which said close with each answer from SIGTERM on. The protocol lets clients go on with the connections they have for as long as these stay open. Change: new connections for 550 ms as before; open ones are served for 2.5 s; what comes after the 550 ms gets an expiry 3.3 s after SIGTERM at the latest, so that it has its answer before the kill (3.7 s at the earliest).

--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -49,10 +49,10 @@
 class Client:
     """One connection. Between requests it rests; with one taken it waits for the desk's answer."""
 
-    def __init__(self, gate: "Gate", leaving: bool) -> None:
+    def __init__(self, gate: "Gate", left_at: float) -> None:
         self.mail = Mailbox()
         self._gate, self._desk, self._clock, self._limits = gate.mail, gate.desk, gate.clock, gate.limits
-        self._charter, self._log, self._leaving = gate.charter, gate.log, leaving
+        self._charter, self._log, self._left_at = gate.charter, gate.log, left_at
         self._peer: Peer | None = None
         self._head: h11.Request | None = None
         self._fault: Malformed | None = None  # of a request whose framing is sound: it is read past
@@ -170,7 +170,7 @@
             else:
                 self._reject(507, "no room for the body")
         elif isinstance(message, Leave):
-            self._leaving = True
+            self._left_at = message.at
         elif isinstance(message, Shut):
             self._asked = True
         elif isinstance(message, Cut) and self._taken is None:
@@ -282,7 +282,7 @@
             self._turn_away(self._fault.status, self._fault.why)
         elif self._head.target.partition(b"?")[0] == wire.READY:
             self._proved = True
-            self._respond(503 if self._leaving else 200, b"", ())
+            self._respond(503 if self._left_at else 200, b"", ())
         else:
             self._take()
 
@@ -305,6 +305,9 @@
         self._body = bytearray()
         request.id, request.scheme = told[wire.ID], self._charter.schemes.index(scheme)
         request.expiry = now + left - self._limits.way
+        if self._left_at and now > self._left_at + self._limits.leave:
+            # On kept connections clients go on while they may: what comes late is answered before the kill.
+            request.expiry = min(request.expiry, self._left_at + self._limits.last_word)
         request.slots, request.memory = wire.facts(told.get(wire.FACTS, b""))
         if self._log.each_txn:
             self._log.say("took", id=request.id, scheme=scheme, left=left, target=head.target)
@@ -333,7 +336,8 @@
     def _respond(self, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...]) -> None:
         """Write one whole answer, and be ready for the next request."""
         peer, more = self._peer, list(headers)
-        if self._leaving or self._lingering or self._asked:
+        leaving = self._left_at and self._clock.now() >= self._left_at + self._limits.stay
+        if leaving or self._lingering or self._asked:
             more.append((b"connection", b"close"))
         more.append((b"content-length", b"%d" % len(body)))
         bare = self._head is not None and self._head.method == b"HEAD"
@@ -389,25 +393,36 @@
         self._told_at = 0.0
         self._space = asyncio.Event()
         self._space.set()
-        self._shut_at = 0.0
+        self._left_at = 0.0
 
     async def run(self) -> None:
         """Until asked to leave and the last client has its answer."""
         acceptor = asyncio.create_task(self._accept())
-        while not (self._shut_at and acceptor.done() and self.mail.empty()) or self._clients:
+        while not (self._left_at and acceptor.done() and self.mail.empty()) or self._clients:
             for message in await self.mail.take(self._until_due(acceptor)):
                 self._hear(message)
             self._make_room()
             self._tell_turned()
-            if self._shut_at and self.clock.now() >= self._shut_at and not acceptor.done():
+            if self._past(self.limits.leave) and not acceptor.done():
                 acceptor.cancel()
                 await asyncio.wait([acceptor])
                 self._close()
+            if self._past(self.limits.stay):
+                for client in [*self._silent, *self._resting]:
+                    client.mail.put(Shut())
+                self._silent.clear()
+                self._resting.clear()
+
+    def _past(self, span: float) -> bool:
+        """Whether it was asked to leave that long ago."""
+        return self._left_at > 0.0 and self.clock.now() >= self._left_at + span
 
     def _until_due(self, acceptor: asyncio.Task) -> float | None:
         now, due = self.clock.now(), []
-        if self._shut_at and not acceptor.done():
-            due.append(self._shut_at - now)
+        if self._left_at and not acceptor.done():
+            due.append(self._left_at + self.limits.leave - now)
+        elif self._left_at and not self._past(self.limits.stay):
+            due.append(self._left_at + self.limits.stay - now)
         if not self._space.is_set():
             due.append(self.limits.hurry / 4.0)
         if self._turned:
@@ -418,10 +433,9 @@
         now = self.clock.now()
         match message:
             case socket.socket():
-                client = Client(self, leaving=self._shut_at > 0.0)
+                client = Client(self, self._left_at)
                 self._clients[client] = asyncio.create_task(client.run(message))
                 self._silent[client] = now
-                self._shut(client)
             case Busy(client):
                 self._move(client, self._reading)
             case Whole(client):
@@ -429,7 +443,6 @@
             case Resting(client):
                 self._move(client, self._resting)
                 self._bodies.pop(client, None)
-                self._shut(client)
             case Lingering(client):
                 self._move(client, self._lingering)
                 self._bodies.pop(client, None)
@@ -447,11 +460,11 @@
                 self._turned[f"{status} {why}"] += 1
             case Renew(limits, _):
                 self.limits = limits
-            case Leave() if not self._shut_at:
+            case Leave() if not self._left_at:
                 self.log.say("leaving", connections=len(self._clients))
-                self._shut_at = now + self.limits.leave
+                self._left_at = now
                 for client in self._clients:
-                    client.mail.put(Leave())
+                    client.mail.put(Leave(now))
 
     def _move(self, client: Client, to: dict[Client, float] | None) -> None:
         for group in (self._silent, self._reading, self._resting, self._lingering):
@@ -488,16 +501,11 @@
 
     def _tell_turned(self) -> None:
         """What was turned away is counted: told one by one it was the dearest part of a flood."""
-        if self._turned and (self._shut_at or self.clock.now() - self._told_at >= self.limits.count):
+        if self._turned and (self._left_at or self.clock.now() - self._told_at >= self.limits.count):
             self.log.say("bad_requests", number=self._turned.total(), why=dict(self._turned))
             self._turned.clear()
             self._told_at = self.clock.now()
 
-    def _shut(self, client: Client) -> None:
-        """Past the time to leave nothing more is awaited on a resting connection."""
-        if self._shut_at and self.clock.now() >= self._shut_at:
-            client.mail.put(Shut())
-
     async def _accept(self) -> None:
         loop, accepted = asyncio.get_running_loop(), 0
         while True:
@@ -527,8 +535,6 @@
             except OSError:
                 break
         self._listener.close()
-        for client in [*self._silent, *self._resting]:
-            client.mail.put(Shut())
 
 
 # To the gate from a client. None is a kind of another: a closed one taken for a resting one was never let go.
--- a/sableford/net/http.py
+++ b/sableford/net/http.py
@@ -22,9 +22,19 @@
         self.reader, self.writer = reader, writer
         self.state = h11.Connection(role, max_incomplete_event_size=limits.head)
         self._chunk = limits.chunk
+        self.uses, self._rests_since = 0, 0.0
         # Zero: drain() then waits until the kernel has the last byte.
         writer.transport.set_write_buffer_limits(high=0)
 
+    def rest(self) -> None:
+        """One exchange on it is over."""
+        self.uses += 1
+        self._rests_since = asyncio.get_running_loop().time()
+
+    def idle(self) -> float:
+        """How long nothing has gone over it, in ms; 0 for one that is new."""
+        return (asyncio.get_running_loop().time() - self._rests_since) * 1000.0 if self.uses else 0.0
+
     async def more(self) -> bytes:
         """Bytes as they come, none at the end; a broken connection ends too."""
         try:
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -47,6 +47,8 @@
     again: float = 100.0  # between two tries at a new address
     last: float = 200.0  # after a failure inside, for the answers owed to go out
     leave: float = 550.0  # after SIGTERM new connections are taken for this long: they come for up to 400
+    stay: float = 2500.0  # and those that are open are served on: the others may not be back yet
+    last_word: float = 3300.0  # and what comes on them is answered by then: the kill comes after 3,700
 
 
 def granted(sockets: int, memory_mb: float, idle: float, connect: float) -> Limits:
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -163,7 +163,9 @@
 
 
 class Leave(NamedTuple):
-    """The scheduler is ending: answer with a close. To the gate: end."""
+    """The scheduler was asked to end at that time. To the gate: end."""
+
+    at: float = 0.0
 
 
 class Shut(NamedTuple):
--- a/sableford/net/workers.py
+++ b/sableford/net/workers.py
@@ -120,6 +120,7 @@
         if message.line is not None:
             if message.place.same(self._place) and len(self._kept) + self._using < self._allotted:
                 self._kept.append((self._clock.now(), message.line))
+                message.line.rest()
             else:
                 message.line.drop()
 
@@ -149,6 +150,14 @@
                     raise TimeoutError
                 place, line = self._place, line or await self._open()
                 if line is not None:
+                    if self._log.each_txn:
+                        facts = {
+                            "worker": self.name,
+                            "number": posting,
+                            "idle": line.idle(),
+                            "used": line.uses,
+                        }
+                        self._log.say("line", id=request.id, **facts)
                     told = await self._exchange(carry, line)
         except TimeoutError:
             told = OVERDUE
