Lines that rest as long as one that proved dead are not used again for a while

At fault: Worker._line, which takes any line that looks up; a dead one looks so until it is written to, and then the posting may have run. A scenario with a worker that resets lines as they are used again.

--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -53,6 +53,7 @@
     Renew,
     Request,
     Settle,
+    Stale,
     Told,
     Unheard,
     Withdraw,
@@ -80,6 +81,7 @@
             Looked: self._looked,
             Told: self._told,
             Renew: self._renew,
+            Stale: self._pass_on,
             _Died: self._mourn,
             Unheard: lambda message: self._tell(Unfollowed()),
         }
@@ -225,6 +227,12 @@
             worker.mail.put(message)
         self._allot()
 
+    def _pass_on(self, message: Stale) -> None:
+        """What drops resting lines at one worker mostly does so at all: a setting, a machine between."""
+        self._log.say("stale_line", rested=round(message.rested))
+        for worker in self._workers.values():
+            worker.mail.put(message)
+
     def _worker(self, name: str) -> Worker:
         if (worker := self._workers.get(name)) is None:
             worker = Worker(name, self.mail, self._clock, self._limits, self._charter, self._log)
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -105,6 +105,12 @@
     result: bytes = b""
 
 
+class Stale(NamedTuple):
+    """A line that had rested so many ms was dead as it was taken up. To the workers too, from the desk."""
+
+    rested: float
+
+
 class Looked(NamedTuple):
     """A probe is back."""
 
--- a/sableford/net/workers.py
+++ b/sableford/net/workers.py
@@ -30,6 +30,7 @@
     Place,
     Renew,
     Request,
+    Stale,
     Withdraw,
 )
 
@@ -53,6 +54,7 @@
         self._kept: list[tuple[float, Peer]] = []  # idle, the last used at the end
         self._turns: deque[asyncio.Future[Peer | None]] = deque()  # of errands that wait for a line
         self._using = 0
+        self._span, self._span_at = limits.keep, clock.now()  # how long a line may rest and be used again
         self._errands: dict[tuple[Request, int] | None, asyncio.Task] = {}
         self._deeds = {
             Carry: self._start,
@@ -61,12 +63,13 @@
             Place: self._settle,
             Allot: self._allot,
             Renew: self._renew,
+            Stale: self._mistrust,
             _Free: self._free,
         }
 
     async def run(self) -> None:
         while True:
-            within = self._kept[0][0] + self._limits.keep - self._clock.now() if self._kept else None
+            within = self._kept[0][0] + self._keep() - self._clock.now() if self._kept else None
             for message in await self.mail.take(within):
                 self._deeds[type(message)](message)
             self._tend()
@@ -114,6 +117,16 @@
     def _renew(self, message: Renew) -> None:
         self._limits = message.limits
 
+    def _keep(self) -> float:
+        """How long a line may rest and be used again; less for a while where some proved dead."""
+        grown = 2.0 ** ((self._clock.now() - self._span_at) / self._limits.trust)
+        return min(self._limits.keep, self._span * grown)
+
+    def _mistrust(self, message: Stale) -> None:
+        """Lines that rested so long were dead: a posting written to one may have run, and is lost or late."""
+        self._span = min(self._keep(), max(self._limits.brief, message.rested / 2.0))
+        self._span_at = self._clock.now()
+
     def _free(self, message: "_Free") -> None:
         self._errands.pop(message.key, None)
         self._using -= _was_granted(message.turn)
@@ -126,15 +139,15 @@
 
     def _tend(self) -> None:
         """Close what has been idle long enough, before the worker does, and what the worker has closed."""
-        old = self._clock.now() - self._limits.keep
+        old = self._clock.now() - self._keep()
         while self._kept and self._kept[0][0] <= old:
             self._kept.pop(0)[1].drop()
 
     def _line(self) -> Peer | None:
         """A kept line that is still up, the last used first; none where one has to be opened."""
         while self._kept:
-            _, line = self._kept.pop()
-            if line.usable():
+            since, line = self._kept.pop()
+            if line.usable() and self._clock.now() - since < self._keep():
                 return line
             line.drop()
         return None
@@ -206,12 +219,19 @@
                 (b"content-length", b"%d" % len(request.body)),
             ],
         )
+        rested, written_at = line.idle(), self._clock.now()
         line.write(head, h11.Data(data=request.body), h11.EndOfMessage())
         if not await line.written():
             return OPENING
         try:
             while isinstance(answer := await line.event(), h11.InformationalResponse):
                 pass
+        except h11.RemoteProtocolError:
+            # Nothing came back but a reset, at once: the line was dead as it was taken up.
+            if rested > self._limits.brief and self._clock.now() - written_at < self._limits.hurry:
+                self._desk.put(Stale(rested))
+            return DOUBT
+        try:
             if not isinstance(answer, h11.Response):
                 return DOUBT
             if answer.status_code == 200:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -17,6 +17,7 @@
     worker A [shut|deaf]              listens and is listed; nobody listens; no connection comes up
     take t1 quote left=900m on=c      a client posts t1, on a connection of its own or on c
     say t1 started|running|done TEXT|failed|returned|lost|STATUS HEADER|text LINE|end|cut
+    dead A                            resets each kept line as it is used again
     list A phase=leaving | list whole A | list old A | agent mute|speak|drop
     raw c BYTES | hangup c | sigterm | reload [torn] KEY=VALUE | fail | files 1 | wait 20
     told: at A t1 LINE BODY | closed A t1 | answer t1 200 BODY | closed c | watch 3 | whole | log EVENT
@@ -290,6 +291,8 @@
         self.revision, self.mute = 1, False
         self.watchers: list[asyncio.StreamWriter] = []
         self.held: dict[str, asyncio.StreamWriter] = {}  # by txn: where its last posting came
+        self.used: set[asyncio.StreamWriter] = set()
+        self.dead: set[str] = set()  # workers that reset a kept line as it is used again
         self.finished: set[str] = set()  # txns whose last posting has a last line
         self.begun: set[str] = set()  # txns whose stream has begun
         self.clients: dict[str, asyncio.StreamWriter] = {}
@@ -396,6 +399,11 @@
                 self.told.append(f"probe {name}")
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nqueue=0,x0=4")
                 continue
+            if name in self.dead and writer in self.used:  # taken up again, it proves dead
+                self.told.append(f"dead {name}")
+                writer.transport.abort()
+                return
+            self.used.add(writer)
             txn = field(head, b"x-correlation-id")
             body = await reader.readexactly(int(field(head, b"content-length")))
             if txn in self.held and not self.held[txn].is_closing() and txn not in self.finished:
@@ -513,6 +521,9 @@
         self.waiting[name] += [txn] if txn else []
         self.clients[name].write(data)
 
+    async def do_dead(self, name: str) -> None:
+        self.dead.add(name)
+
     async def do_hangup(self, name: str) -> None:
         self.clients[name].transport.abort()
 
