--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 from heapq import heappop, heappush
 from typing import NamedTuple
 from zlib import crc32
@@ -94,7 +95,7 @@
             Follow: self._roster_mail,
             Probe: self._probe,
         }
-        self._now = clock.now()
+        self._now = self._traced = clock.now()
         self._begin()
 
     def _begin(self) -> None:
@@ -124,6 +125,39 @@
                 due = True
             if due:
                 self._tell(Woken())
+            if self._log.each_txn and self._now >= self._traced + self._limits.count:
+                self._traced = self._now
+                self._trace()
+
+    def _trace(self) -> None:
+        """What the module holds of each worker, beside what is out there by the desk's own count."""
+        out = Counter(name for names in self._posted.values() for name in names)
+        for index, worker in self._core.workers.items():
+            name = self._door.worker_ids[index]
+            self._log.say(
+                "belief",
+                worker=name,
+                posted=out[name],
+                own=worker.own,
+                others=round(worker.others, 1),
+                age=round(self._now - worker.true_at) if worker.others >= 0.0 else None,
+                slots=worker.kind.slots,
+                pace=round(worker.pace, 2),
+                kind_pace=round(worker.kind.pace(), 2),
+                faults=round(worker.faults, 1),
+                sound=round(worker.sound, 1),
+                rest=max(0, round(worker.rest_until - self._now)),
+                out=[
+                    word
+                    for word, so in (
+                        ("still", worker.still),
+                        ("waits", worker.waits),
+                        ("unready", not worker.ready),
+                        ("undrawn", not worker.drawn),
+                    )
+                    if so
+                ],
+            )
 
     def _tell(self, event: Event) -> None:
         try:
