A posting that stands still no longer takes its worker out until the expiry

An answer lost on the way (once-only, so it can't be posted again) looks as a hang does. Ruled out: suspects (none to two at the refusals), rests after failed connections (under a second), copies (own and posted agree). At fault: Scheduler._patrol, which set still again at each look as long as one posting was silent, _sound, which then sent nothing at all, and _measure, which charged the silent posting's time to its worker's pace. Change: each posting is mute on its own clock, is moved where it may, and no longer counts as running time; its worker is still only while nothing at all has been heard of it for as long, and then takes one repeatable or referenced txn at a time, as a suspect does.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -111,7 +111,7 @@
         self.reported = -1.0
         self.others, self.true_at = -1.0, 0.0
         self.done, self.due, self.pace, self.touched = 0.0, 0.0, 1.0, 0.0
-        self.faults, self.sound, self.judged = 0.0, 0.0, 0.0
+        self.faults, self.sound, self.judged, self.heard = 0.0, 0.0, 0.0, 0.0
         self.waits = self.still = False
         self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
 
@@ -163,12 +163,12 @@
 
 
 class Posting:
-    __slots__ = ("called_off", "need", "news", "scheme", "sent", "started", "worker")
+    __slots__ = ("called_off", "mute", "need", "news", "scheme", "sent", "started", "worker")
 
     def __init__(self, worker: Worker, scheme: int, need: float, now: float) -> None:
         self.worker, self.scheme, self.need = worker, scheme, need
         self.sent, self.news = now, now
-        self.started = self.called_off = False
+        self.started = self.called_off = self.mute = False
 
 
 class Txn:
@@ -207,8 +207,8 @@
         self.needs = sorted({scheme.kind for scheme in terms.schemes})
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
         self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
-        self.limits: list[tuple[float, int]] = []
         self.born, self.follow_at, self.refused = -1.0, 0.0, 0
+        self.limits: list[tuple[float, int]] = []
         self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
         # A part below one txn a second found the first txn of each scheduler beyond the share.
         self.tokens = [TOKENS + account.allowance / terms.schedulers for account in terms.accounts]
@@ -235,8 +235,7 @@
         self.handlers[type(event)](now, event)
         if self.held or self.follow_at or self.active:
             after = PATROL if self.held or self.unstarted or self.follow_at else REST
-            # Held while the next look was a long one away, a txn was given up only after its expiry.
-            # A wake-up may come a rounding early: taken for another one, it left no next one asked for.
+            # Sooner where something was held since; a wake-up may come a rounding early and count as none.
             if self.wake_at <= now + 1.0 or now + after < self.wake_at - PATROL / 2.0:
                 self.wake_at = now + after
                 self.effects.append(Wake(after))
@@ -466,8 +465,7 @@
 
     def _scout(self, now: float, full: list[tuple[float, Worker]]) -> Worker | None:
         """One txn now and then to the least of the full copies that aged, where all workers are drawn."""
-        # Without it a crowd seen once was taken for one that stays: nothing posted, no report came to tell
-        # otherwise. Strangers serve as well, and some hundred scouts a second were a storm.
+        # Else a crowd seen once was taken for one that stays. Some hundred scouts a second were a storm.
         old = now - AGE_LIMIT - self.lag
         aged = [pair for pair in full if pair[1].others >= 0.0 and pair[1].true_at < old]
         if not aged or len(self.drawn) < len(self.open) or now - self.scouted < AGE_LIMIT * self.crowd:
@@ -586,12 +584,10 @@
 
     def _sound(self, worker: Worker, txn: Txn) -> bool:
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
-        if worker.still or worker is txn.avoid:
-            return False
-        if self._suspect(worker):
-            scheme = self.terms.schemes[txn.taken.scheme]
-            return scheme.repeats is not Repeats.ONCE_ONLY and not worker.postings and txn.posted == 0
-        return True
+        if worker is txn.avoid or not (worker.still or self._suspect(worker)):
+            return worker is not txn.avoid
+        again = self.terms.schemes[txn.taken.scheme].repeats is not Repeats.ONCE_ONLY
+        return again and txn.posted == 0 and all(posting.mute for posting in worker.postings.values())
 
     def _suspect(self, worker: Worker) -> bool:
         return worker.faults > FAULTY * (worker.faults + worker.sound + FAULT_WEIGHT)
@@ -605,11 +601,9 @@
         return self.runs[txn.taken.scheme].mean() / worker.kind.pace() * max(1.0, txn.taken.slots)
 
     def _budget(self, worker: Worker, now: float, txn: Txn) -> bool:
-        """Whether this scheduler's turns at a cold worker still hold this txn.
-
-        Time since the worker's start, told to all alike, is cut into spans; what it bears in two is given out
-        in whole txns, in turn: one part in the number of schedulers was under one txn, and left it idle.
-        """
+        """Whether this scheduler's turns at a cold worker still hold this txn."""
+        # Time since its start, told to all alike, is cut into spans; what it bears in two is given out in
+        # whole txns, in turn: one part in the number of schedulers was under one txn, and left it idle.
         duties = self.terms.duties
         if now - self.born < duties.push_span:  # what a scheduler killed just now sent is not known here
             return False
@@ -630,9 +624,8 @@
     def _turns_in(self, kind: Kind, bears: float, cost: float) -> int:
         """Whole txns, over all schedulers, in one span of a worker at that part of its capacity."""
         duties = self.terms.duties
-        total = (
-            COLD_MARGIN * duties.push_factor * bears * max(kind.slots, UNHEARD_SLOTS) * duties.push_span / 2.0
-        )
+        span = duties.push_span / 2.0 * max(kind.slots, UNHEARD_SLOTS)
+        total = COLD_MARGIN * duties.push_factor * bears * span
         return int(total / max(cost, self.mean_run / kind.pace()))
 
     def _turns(self, now: float) -> list[Worker]:
@@ -659,14 +652,18 @@
             worker.running[posting.scheme] += 1
             if not self.line_shown:
                 self._show(worker, posting.need, now)
-        posting.news, worker.still, worker.misses = now, False, 0
+        posting.news, worker.misses = now, 0
         busy = sum(other.need for other in worker.postings.values() if other.started)
         worker.kind.slots = max(worker.kind.slots, float(int(busy)))
         self._look(worker, now)
 
     def _progressed(self, now: float, event: events.Progressed) -> None:
         if (posting := self._posting(event.txn, event.posting)) is not None:
-            posting.news, posting.worker.still = now, False
+            worker = posting.worker
+            self._measure(worker, now)
+            worker.running[posting.scheme] += posting.mute
+            posting.news = worker.heard = now
+            posting.mute = worker.still = False
 
     def _posting(self, index: int, number: int) -> Posting | None:
         txn = self.txns.get(index)
@@ -705,10 +702,10 @@
         """What an ending says of the worker's pace and health."""
         fade = exp((worker.judged - now) / FAULT_MEMORY)
         worker.faults, worker.sound, worker.judged = worker.faults * fade, worker.sound * fade, now
-        if posting.started:
+        if posting.started and not posting.mute:
             worker.running[posting.scheme] -= 1
         if ending is Ending.SETTLED:
-            worker.still, worker.misses = False, 0
+            worker.still, worker.misses, worker.heard = False, 0, now
             worker.sound += 1.0
             if posting.started:
                 worker.done += 1.0
@@ -736,10 +733,9 @@
             drop = exp((run.touched - now) / RUN_MEMORY)
             run.spent, run.done, run.touched = run.spent * drop, run.done * drop, now
             if count:
-                # A worker that hangs or died would make its whole kind look slow, and all runs long.
-                run.spent += 0.0 if worker.still else spell * count
+                run.spent += spell * count
                 due += spell * count / run.mean()
-        kind.due += 0.0 if worker.still else due
+        kind.due += due
         worker.done, worker.due, worker.touched = worker.done * fade, worker.due * fade + due, now
         worker.pace = (worker.done + PACE_WEIGHT * kind.pace()) / (worker.due + PACE_WEIGHT)
 
@@ -809,24 +805,28 @@
         if self.follow_at and now >= self.follow_at:
             self.follow_at = 0.0
             self.effects.append(Follow())
-        patience = self.terms.progress * (STILL - 1.0) + STILL_SLACK
+        silence = self.terms.progress and self.terms.progress * STILL + STILL_SLACK
         late: list[int] = []
         for worker in [*self.drawn, *(worker for worker in self.active.values() if not worker.drawn)]:
             self._measure(worker, now)
             self._look(worker, now)
             for (index, _), posting in worker.postings.items():
-                if posting.started:
-                    worker.still |= 0.0 < self.terms.progress < now - posting.news - patience
+                if posting.started and 0.0 < silence < now - posting.news and not posting.mute:
+                    # Counted on, what hangs made its worker, its kind and all runs look slow.
+                    posting.mute = True
+                    worker.running[posting.scheme] -= 1
                 # Lines of txns too late to earn anything grew until nothing in them was in time.
-                elif now > self.txns[index].hopeless and not posting.called_off:
+                elif not posting.started and now > self.txns[index].hopeless and not posting.called_off:
                     late.append(index)
+            # One answer lost on the way took its worker out until the expiry: news of others there clears it.
+            mute = any(posting.mute for posting in worker.postings.values())
+            worker.still = mute and now - worker.heard > silence
         self._exchange(now)
         if self.terms.tariff.call_off:
             for index in late:
                 self._step(now, index, Input.LATE)
             for worker in list(self.active.values()):
-                if worker.waits or worker.still:
-                    self._move(worker, now)
+                self._move(worker, now)
         self._pump(now)
 
     def _move(self, worker: Worker, now: float) -> None:
@@ -836,7 +836,7 @@
         for (index, _), posting in list(worker.postings.items()):
             txn = self.txns[index]
             scheme = self.terms.schemes[txn.taken.scheme]
-            idle = worker.still if posting.started else not vain and now - posting.sent > START_WAIT
+            idle = posting.mute if posting.started else not vain and now - posting.sent > START_WAIT
             left = self.terms.tariff.postings - (not posting.started) - txn.posted
             free = txn.state is State.OUT and not posting.called_off and left > 0 and now < txn.limit
             if not (idle and free) or scheme.repeats is Repeats.ONCE_ONLY:
@@ -882,10 +882,9 @@
                     self._warm(line)
             self.crowd = max(1.0, self.terms.schedulers / max(1, len(ready)))
             self._redraw(now)
-        if self.terms.live:
-            for worker in self.drawn:
-                if (rating := event.rating(worker.index)) > 0.0:
-                    self._weigh(worker, rating, now)
+        for worker in self.drawn if self.terms.live else ():
+            if (rating := event.rating(worker.index)) > 0.0:
+                self._weigh(worker, rating, now)
         self._pump(now)
 
     def _weigh(self, worker: Worker, rating: float, now: float) -> None:
