What is out for a client that went away is called off, where that is allowed

Checked in the log: after a client's close the postings out for it ran to their ends. At fault: LIFE's (OUT, LAPSED), which dropped the txn and left what was out. Change: it calls off; a call-off of a posting that had not begun within a round trip is told from one that had no time to (it gave its worker a rest as one in a line does).

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -1,7 +1,6 @@
 """Every decision of one scheduler: which worker takes a txn, when it is posted again, declined or reversed.
 
-Called as `Scheduler(terms, seed).handle(now, event)`, which returns the effects in the order they are to act;
-the clock is whatever the caller says, in milliseconds. The interface stands in `sableford/model/`.
+`Scheduler(terms, seed).handle(now, event)` returns the effects in order; types stand in `sableford/model/`.
 """
 
 from collections import deque
@@ -170,6 +169,10 @@
         self.sent, self.news = now, now
         self.started = self.called_off = self.mute = False
 
+    def waited(self, now: float) -> bool:
+        """Whether it has not begun within a round trip."""
+        return not self.started and now - self.sent > START_WAIT
+
 
 class Txn:
     __slots__ = ("avoid", "hopeless", "limit", "moved", "origin", "out", "over", "posted", "state", "taken")
@@ -280,7 +283,7 @@
     def _call_off(self, now: float, index: int, txn: Txn) -> None:
         txn.moved = True
         for number, posting in txn.out.items():
-            if not posting.called_off:
+            if self.terms.tariff.call_off and not posting.called_off:
                 posting.called_off = True
                 txn.avoid = posting.worker
                 self.effects.append(CallOff(index, number))
@@ -714,7 +717,7 @@
         elif ending is Ending.ERROR or ending is Ending.BROKEN:
             worker.faults += 1.0
         # A hung worker with nothing left out looked idle, and was sent the next txn at once.
-        elif ending is Ending.NO_CONNECTION or (ending is Ending.CALLED_OFF and not posting.started):
+        elif ending is Ending.NO_CONNECTION or (ending is Ending.CALLED_OFF and posting.waited(now)):
             worker.rest_until = now + min(SHUN_MOST, SHUN * 2.0**worker.misses)
             worker.misses = min(worker.misses + 1, 8)
         elif ending is Ending.FULL:
@@ -797,9 +800,7 @@
 
     def _look(self, worker: Worker, now: float) -> None:
         """An own posting that has not begun within a round trip waits in line: that worker has no room."""
-        worker.waits = self.terms.tells_start and any(
-            not posting.started and now - posting.sent > START_WAIT for posting in worker.postings.values()
-        )
+        worker.waits = self.terms.tells_start and any(one.waited(now) for one in worker.postings.values())
 
     def _patrol(self, now: float, event: events.Woken) -> None:
         if self.follow_at and now >= self.follow_at:
@@ -836,7 +837,7 @@
         for (index, _), posting in list(worker.postings.items()):
             txn = self.txns[index]
             scheme = self.terms.schemes[txn.taken.scheme]
-            idle = posting.mute if posting.started else not vain and now - posting.sent > START_WAIT
+            idle = posting.mute if posting.started else not vain and posting.waited(now)
             left = self.terms.tariff.postings - (not posting.started) - txn.posted
             free = txn.state is State.OUT and not posting.called_off and left > 0 and now < txn.limit
             if not (idle and free) or scheme.repeats is Repeats.ONCE_ONLY:
@@ -905,5 +906,5 @@
     (State.OUT, Input.NEVER_RAN): (State.HELD, Scheduler._again),
     (State.OUT, Input.MAY_HAVE_RUN): (State.HELD, Scheduler._again),
     (State.OUT, Input.SETTLED): (State.OVER, Scheduler._drop),
-    (State.OUT, Input.LAPSED): (State.OVER, Scheduler._drop),
+    (State.OUT, Input.LAPSED): (State.OVER, Scheduler._call_off),
 }
