--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -368,7 +368,7 @@
         self._lingering, self._since, self._resume_at, self._waits = True, self._clock.now(), 0.0, False
         self._body = bytearray()
         self._gate.put(Lingering(self))
-        if not self._peer.writer.transport.is_closing():
+        with suppress(OSError):  # it may be gone already
             self._peer.writer.write_eof()
 
 
@@ -393,17 +393,17 @@
         self._told_at = 0.0
         self._space = asyncio.Event()
         self._space.set()
-        self._left_at = 0.0
+        self._left_at, self._open = 0.0, True
 
     async def run(self) -> None:
         """Until asked to leave and the last client has its answer."""
         acceptor = asyncio.create_task(self._accept())
-        while not (self._left_at and acceptor.done() and self.mail.empty()) or self._clients:
-            for message in await self.mail.take(self._until_due(acceptor)):
+        while self._open or self._clients or not self.mail.empty():
+            for message in await self.mail.take(self._until_due()):
                 self._hear(message)
             self._make_room()
             self._tell_turned()
-            if self._past(self.limits.leave) and not acceptor.done():
+            if self._open and self._past(self.limits.leave):
                 acceptor.cancel()
                 await asyncio.wait([acceptor])
                 self._close()
@@ -417,10 +417,10 @@
         """Whether it was asked to leave that long ago."""
         return self._left_at > 0.0 and self.clock.now() >= self._left_at + span
 
-    def _until_due(self, acceptor: asyncio.Task) -> float | None:
+    def _until_due(self) -> float | None:
         now, due = self.clock.now(), []
-        if self._left_at and not acceptor.done():
-            due.append(self._left_at + self.limits.leave - now)
+        if self._left_at and self._open:
+            due.append(max(self.limits.hurry / 4.0, self._left_at + self.limits.leave - now))
         elif self._left_at and not self._past(self.limits.stay):
             due.append(self._left_at + self.limits.stay - now)
         if not self._space.is_set():
@@ -528,13 +528,16 @@
             self._space.clear()
 
     def _close(self) -> None:
-        """Take what still lies in the accept queue, then close the door."""
+        """Take what still lies in the accept queue, then close the door; out of descriptors, later."""
         while True:
             try:
                 self._admit(self._listener.accept()[0])
-            except OSError:
+            except BlockingIOError:
                 break
+            except OSError:  # closed over what waited for a descriptor, it lost what had been taken
+                return
         self._listener.close()
+        self._open = False
 
 
 # To the gate from a client. None is a kind of another: a closed one taken for a resting one was never let go.
--- a/sableford/net/workers.py
+++ b/sableford/net/workers.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from sableford.intake.charter import Charter
-from sableford.model import Ending
+from sableford.model import Ending, Repeats
 from sableford.net import wire
 from sableford.net.http import Peer, dial
 from sableford.net.limits import Limits
@@ -163,15 +163,13 @@
                     raise TimeoutError
                 place, line = self._place, line or await self._open()
                 if line is not None:
-                    if self._log.each_txn:
-                        facts = {
-                            "worker": self.name,
-                            "number": posting,
-                            "idle": line.idle(),
-                            "used": line.uses,
-                        }
-                        self._log.say("line", id=request.id, **facts)
                     told = await self._exchange(carry, line)
+                # A kept line that broke before the last byte says nothing of the worker: a new one does.
+                if told is OPENING and line is not None and line.uses:
+                    line.drop()
+                    place, line = self._place, await self._open()
+                    if line is not None:
+                        told = await self._exchange(carry, line)
         except TimeoutError:
             told = OVERDUE
         except asyncio.CancelledError:
@@ -219,8 +217,22 @@
                 (b"content-length", b"%d" % len(request.body)),
             ],
         )
-        rested, written_at = line.idle(), self._clock.now()
-        line.write(head, h11.Data(data=request.body), h11.EndOfMessage())
+        rested = line.idle()
+        if self._log.each_txn:
+            self._log.say("line", id=request.id, worker=self.name, idle=rested, used=line.uses)
+        data = line.packed(head, h11.Data(data=request.body), h11.EndOfMessage())
+        free = self._charter.terms.schemes[request.scheme].repeats is Repeats.REPEATABLE
+        if not free or rested > self._limits.brief:
+            # A line that is dead shows it once something was written to it. Without its last byte nothing has
+            # run: so it can still go elsewhere, where by the whole of it a once-only txn was lost.
+            line.writer.write(data[:-1])
+            if not await line.written() or not await line.stands(self._limits.last_byte):
+                if rested > self._limits.brief:
+                    self._desk.put(Stale(rested))
+                return OPENING
+            data = data[-1:]
+        written_at = self._clock.now()
+        line.writer.write(data)
         if not await line.written():
             return OPENING
         try:
