--- a/sableford/net/http.py
+++ b/sableford/net/http.py
@@ -48,16 +48,8 @@
             self.state.receive_data(await self.more())
         return event
 
-    def packed(self, *events: object) -> bytes:
-        return b"".join(self.state.send(event) or b"" for event in events)
-
     def write(self, *events: object) -> None:
-        self.writer.write(self.packed(*events))
-
-    async def stands(self, span: float) -> bool:
-        """Whether what was written so far has not been answered by a reset or an end within so many ms."""
-        await asyncio.sleep(span / 1000.0)
-        return self.usable()
+        self.writer.write(b"".join(self.state.send(event) or b"" for event in events))
 
     async def written(self) -> bool:
         """Whether the last byte has left for the kernel; False only if it provably has not.
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -39,7 +39,6 @@
     linger: float = 1000.0  # reading on after an answer that cut a request short, lest a reset overtake it
     tail: float = 1000.0  # for a worker to end its stream after the last line
     brief: float = 50.0  # a line that rested less is never mistrusted: a reset then has another cause
-    last_byte: float = 3.0  # held back for a round trip within one site where a dead line would do harm
     trust: float = 10_000.0  # after a line that proved dead, the time lines may rest doubles in this
     probe: float = 1000.0  # for a worker to answer a probe
     way: float = 5.0  # taken off a client's time: its way here and the answer's way back
--- a/sableford/net/workers.py
+++ b/sableford/net/workers.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from sableford.intake.charter import Charter
-from sableford.model import Ending, Repeats
+from sableford.model import Ending
 from sableford.net import wire
 from sableford.net.http import Peer, dial
 from sableford.net.limits import Limits
@@ -164,12 +164,6 @@
                 place, line = self._place, line or await self._open()
                 if line is not None:
                     told = await self._exchange(carry, line)
-                # A kept line that broke before the last byte says nothing of the worker: a new one does.
-                if told is OPENING and line is not None and line.uses:
-                    line.drop()
-                    place, line = self._place, await self._open()
-                    if line is not None:
-                        told = await self._exchange(carry, line)
         except TimeoutError:
             told = OVERDUE
         except asyncio.CancelledError:
@@ -220,19 +214,8 @@
         rested = line.idle()
         if self._log.each_txn:
             self._log.say("line", id=request.id, worker=self.name, idle=rested, used=line.uses)
-        data = line.packed(head, h11.Data(data=request.body), h11.EndOfMessage())
-        free = self._charter.terms.schemes[request.scheme].repeats is Repeats.REPEATABLE
-        if not free or rested > self._limits.brief:
-            # A line that is dead shows it once something was written to it. Without its last byte nothing has
-            # run: so it can still go elsewhere, where by the whole of it a once-only txn was lost.
-            line.writer.write(data[:-1])
-            if not await line.written() or not await line.stands(self._limits.last_byte):
-                if rested > self._limits.brief:
-                    self._desk.put(Stale(rested))
-                return OPENING
-            data = data[-1:]
         written_at = self._clock.now()
-        line.writer.write(data)
+        line.write(head, h11.Data(data=request.body), h11.EndOfMessage())
         if not await line.written():
             return OPENING
         try:
