--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -58,6 +58,7 @@
         self._fault: Malformed | None = None  # of a request whose framing is sound: it is read past
         self._body, self._size = bytearray(), 0
         self._since = self._clock.now()  # of the opening, the rest, a request's first byte, or the lingering
+        self._opened = self._since
         self._proved = False  # something that came on it was not refused
         self._taken: Request | None = None
         self._reading = self._lingering = self._asked = self._over = self._waits = self._graced = False
@@ -93,6 +94,9 @@
                 self._peer.close()
             else:
                 sock.close()
+            if self._log.each_txn:
+                facts = {"proved": self._proved, "asked": self._asked, "lingering": self._lingering}
+                self._log.say("closed", age=round(self._clock.now() - self._opened), **facts)
             self._gate.put(Closed(self))
 
     async def _feed(self) -> None:
@@ -282,6 +286,8 @@
             self._turn_away(self._fault.status, self._fault.why)
         elif self._head.target.partition(b"?")[0] == wire.READY:
             self._proved = True
+            if self._log.each_txn:
+                self._log.say("ready", leaving=bool(self._left_at))
             self._respond(503 if self._left_at else 200, b"", ())
         else:
             self._take()
