At the limit connections that never brought a txn go first

Checked by a trace of closed connections: one scheduler closed 144 answered connections within 50 ms, usual clients' among 1,685 that had asked GET /ready and stayed. Ruled out: postings (none failed), accept_failed and late wake-ups (none), the length of the open door after SIGTERM (probed before). At fault: Client._dispatch, which took an answer to /ready for proof, and Gate._make_room, which gave up resting connections while silent ones were under 200 ms old. Change: only an answered txn proves a connection; at the limit the others go first, and are waited for if they will do.

--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -59,7 +59,7 @@
         self._body, self._size = bytearray(), 0
         self._since = self._clock.now()  # of the opening, the rest, a request's first byte, or the lingering
         self._opened = self._since
-        self._proved = False  # something that came on it was not refused
+        self._proved = False  # a txn that came on it was answered
         self._taken: Request | None = None
         self._reading = self._lingering = self._asked = self._over = self._waits = self._graced = False
         self._resume_at, self._soaked = 0.0, 0
@@ -285,7 +285,6 @@
         if self._fault is not None:
             self._turn_away(self._fault.status, self._fault.why)
         elif self._head.target.partition(b"?")[0] == wire.READY:
-            self._proved = True
             if self._log.each_txn:
                 self._log.say("ready", leaving=bool(self._left_at))
             self._respond(503 if self._left_at else 200, b"", ())
@@ -356,7 +355,7 @@
         if self._lingering:
             return
         if peer.next_cycle():
-            self._gate.put(Resting(self))
+            self._gate.put(Resting(self, self._proved))
         elif peer.state.trailing_data[0] or peer.unread():
             self._linger()  # a reset over what lies there would overtake the answer
         else:
@@ -391,7 +390,8 @@
         # By what each has done, since when; in every one the oldest stands first.
         self._silent: dict[Client, float] = {}  # connected, nothing came
         self._reading: dict[Client, float] = {}  # a request has begun to come
-        self._resting: dict[Client, float] = {}  # answered
+        self._idlers: dict[Client, float] = {}  # answered, but brought no txn yet
+        self._resting: dict[Client, float] = {}  # between two txns
         self._lingering: dict[Client, float] = {}  # has its last answer
         self._ending: set[Client] = set()  # told to close
         self._bodies: dict[Client, int] = {}  # bytes granted
@@ -414,10 +414,10 @@
                 await asyncio.wait([acceptor])
                 self._close()
             if self._past(self.limits.stay):
-                for client in [*self._silent, *self._resting]:
-                    client.mail.put(Shut())
-                self._silent.clear()
-                self._resting.clear()
+                for group in (self._silent, self._idlers, self._resting):
+                    for client in group:
+                        client.mail.put(Shut())
+                    group.clear()
 
     def _past(self, span: float) -> bool:
         """Whether it was asked to leave that long ago."""
@@ -446,8 +446,8 @@
                 self._move(client, self._reading)
             case Whole(client):
                 self._move(client, None)
-            case Resting(client):
-                self._move(client, self._resting)
+            case Resting(client, proved):
+                self._move(client, self._resting if proved else self._idlers)
                 self._bodies.pop(client, None)
             case Lingering(client):
                 self._move(client, self._lingering)
@@ -473,7 +473,7 @@
                     client.mail.put(Leave(now))
 
     def _move(self, client: Client, to: dict[Client, float] | None) -> None:
-        for group in (self._silent, self._reading, self._resting, self._lingering):
+        for group in (self._silent, self._reading, self._idlers, self._resting, self._lingering):
             group.pop(client, None)
         if to is not None:
             to[client] = self.clock.now()
@@ -481,8 +481,9 @@
     def _make_room(self) -> None:
         """At the limit what has done the least goes first; then new ones wait in the backlog.
 
-        Those that linger have their answer. Usual clients send at once: who connected and stayed silent for a
-        while, or began and did not end, goes before who rests between two requests and can send elsewhere.
+        Those that linger have their answer. Usual clients send at once: who connected and brought no txn for
+        a while, or began and did not end, goes before who rests between two txns; and where there are more
+        of the first than have to go, but none for long enough, that is waited for.
         """
         if len(self._clients) < self.limits.clients:
             self._space.set()
@@ -493,13 +494,14 @@
         late = self.clock.now() - self.limits.hurry
         for group, word, by in (
             (self._lingering, Cut(), late),
+            (self._idlers, Shut(), late),
             (self._silent, Shut(), late),
             (self._reading, Cut(), late),
             (self._resting, Shut(), float("inf")),
         ):
-            if over <= 0:
-                return
-            for client in [client for client, since in group.items() if since <= by][:over]:
+            if group is self._resting:
+                over -= len(self._lingering) + len(self._idlers) + len(self._silent) + len(self._reading)
+            for client in [client for client, since in group.items() if since <= by][: max(0, over)]:
                 del group[client]
                 self._ending.add(client)
                 client.mail.put(word)
@@ -550,7 +552,10 @@
 
 
 class Resting(NamedTuple):
+    """Between two requests; `proved` where a txn was answered on it."""
+
     client: Client
+    proved: bool
 
 
 class Busy(NamedTuple):
