A worker's 4xx speaks of the request: no fault of the worker, and posted nowhere else

Seen: 24 to 29% of the last txns refused or failed with seven workers ready and little traffic. Checked by the trace of beliefs: a worker had 19 faults beside 17 sound finishes; in the trace of txns, six ERROR endings within a millisecond for an id that had just been settled. Ruled out: resets and failed connections (none in that time), pace, stillness. At fault: Worker._exchange, which made an ERROR of every answer but 200 and 503/504 unprocessed, and so the module posted what bad clients had sent up to six times and blamed each worker. Change: an ending UNFIT for 4xx, which is not judged and gives the txn up at once: declined where a retry is harmless, else reversed.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -693,9 +693,9 @@
             self._report(worker, event.load, now)
         self._look(worker, now)
         never = event.ending in NEVER_RAN
-        if never and txn.origin is posting:
-            txn.origin = None
-        came = Input.NEVER_RAN if never else Input.MAY_HAVE_RUN
+        txn.origin = None if never and txn.origin is posting else txn.origin
+        unfit = Input.LATE if event.ending is Ending.UNFIT else Input.MAY_HAVE_RUN
+        came = Input.NEVER_RAN if never else unfit
         if event.ending is not Ending.SETTLED:
             txn.avoid = worker
         self._step(now, event.txn, Input.SETTLED if event.closed else came)
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -16,6 +16,7 @@
     BROKEN = 5
     CALLED_OFF = 6
     NOT_SENT = 7
+    UNFIT = 8  # the worker says that the request itself is at fault
 
 
 NEVER_RAN = frozenset({Ending.FULL, Ending.NO_CONNECTION, Ending.NOT_SENT})
--- a/sableford/net/workers.py
+++ b/sableford/net/workers.py
@@ -236,7 +236,9 @@
         facts = dict(answer.headers)
         load = wire.load(wire.pairs(facts.get(wire.LOAD, b"")), self._charter.figures)
         unstarted = answer.status_code in (503, 504) and facts.get(wire.NOT_RUN) == b"1"
-        return Ending.FULL if unstarted else Ending.ERROR, load, b""
+        # What bad clients sent counted as its worker's fault, and took sound workers out.
+        unfit = 400 <= answer.status_code < 500
+        return Ending.FULL if unstarted else Ending.UNFIT if unfit else Ending.ERROR, load, b""
 
     async def _hear(self, carry: Carry, line: Peer) -> tuple[Ending, tuple[float, ...], bytes]:
         """The lines of a job's stream, up to a last one; a stream without one broke."""
