Measure a worker anew only as a mute posting speaks again

At fault: _progressed, which brought the worker's sums up to date at each progress; more, shorter spells fade differently, and paces and mean runs shifted. Change: only where a mute posting speaks again.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -663,8 +663,9 @@
     def _progressed(self, now: float, event: events.Progressed) -> None:
         if (posting := self._posting(event.txn, event.posting)) is not None:
             worker = posting.worker
-            self._measure(worker, now)
-            worker.running[posting.scheme] += posting.mute
+            if posting.mute:  # measured at each progress, running times shifted, and more moves were made
+                self._measure(worker, now)
+                worker.running[posting.scheme] += 1
             posting.news = worker.heard = now
             posting.mute = worker.still = False
 
@@ -694,10 +695,9 @@
         self._look(worker, now)
         never = event.ending in NEVER_RAN
         txn.origin = None if never and txn.origin is posting else txn.origin
-        unfit = Input.LATE if event.ending is Ending.UNFIT else Input.MAY_HAVE_RUN
-        came = Input.NEVER_RAN if never else unfit
-        if event.ending is not Ending.SETTLED:
-            txn.avoid = worker
+        may = Input.LATE if event.ending is Ending.UNFIT else Input.MAY_HAVE_RUN
+        came = Input.NEVER_RAN if never else may
+        txn.avoid = txn.avoid if event.ending is Ending.SETTLED else worker
         self._step(now, event.txn, Input.SETTLED if event.closed else came)
         self._pump(now)
 
