Give cold workers what they have earned since their start, in turns of whole txns

At fault: _turns_in rounded the budget of each span down to whole txns by itself, at a half of the rule's span; and _estimate took a cold worker that nothing was heard of for as full as the full ones. Ruled out: late news (a start was known after 0.4 s in the median, a drain 0.03 s after the first told), postings refused for want of a line (none), CPU (0.2 to 0.35 s in the worst second, and that is the start).

Change: what a cold worker has earned since its start is one running sum, known alike to all schedulers, given out in whole txns to one after the other; a turn may be taken for one span, so at 0.45 of the push factor two spans' turns together stay under it. A txn dearer than the mean pays with later own turns. Turns from before a scheduler came up have passed, in place of its silence of one span. What the others hold at a cold worker is at most what it bears.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -72,8 +72,7 @@
 LAST_CALL = 150.0  # ms before expiry: nothing is posted or held past this; over one patrol, so none slips by
 
 # The cold rule
-STRIDE = 7919  # schedulers the turns move on by from span to span: a prime, so that all come round
-COLD_MARGIN = 0.7  # of the own share: slots may outnumber cores, runs differ from their mean
+COLD_MARGIN = 0.45  # of the push factor: a turn may be taken a span late, so twice as many can meet in one
 
 
 State = IntEnum("State", "HELD OUT OVER")
@@ -101,7 +100,6 @@
         self.own = self.shown = 0.0
         self.past: deque[tuple[float, float]] = deque()
         self.running = [0] * len(kind.runs)
-        self.pushed: deque[float] = deque()
         self.forget()
 
     def forget(self) -> None:
@@ -113,6 +111,7 @@
         self.faults, self.sound, self.judged, self.heard = 0.0, 0.0, 0.0, 0.0
         self.waits = self.still = False
         self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
+        self.turn, self.debt = -1, 0.0
 
     def shown_at(self, when: float) -> float:
         """Slots of own postings that a report true at that time counts."""
@@ -382,7 +381,11 @@
         if self.line_shown:
             self._show(worker, need, now)
         if self._is_cold(worker.since, now):
-            worker.pushed.append(now)
+            turn = self._turn(worker.kind, worker.since, now, worker.turn)
+            # One that costs more than a mean txn pays with the own turns that come next.
+            worker.debt = max(0.0, worker.debt + self._cost(txn) - 1.0)
+            worker.turn = turn + int(worker.debt) * self.terms.schedulers
+            worker.debt %= 1.0
         lane = self._lane(txn)
         lane.flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY) + 1.0
         lane.flow_at = now
@@ -403,6 +406,8 @@
         """Slots in flight: own ones, and the others' by the copy, drifting to its kind's mean with age."""
         # Kinds differ: with one mean for all, many schedulers saw room only on the strongest kind at once.
         usual = worker.kind.usual
+        if self.cold and worker.index in self.cold:  # full by the others, it was left idle beside full ones
+            usual = min(usual, self._bears(worker.since, now) * max(worker.kind.slots, UNHEARD_SLOTS))
         if worker.others < 0.0:
             # While nothing is heard all schedulers see the same empty fleet, and filled it many times over.
             alike = self.out * (self.terms.schedulers - 1) / max(1, len(self.open))
@@ -583,7 +588,9 @@
             home = {Scope.ZONE: first.worker.zone, Scope.CELL: first.worker.cell}.get(scheme.scope)
             if home is not None and home != (worker.zone if scheme.scope is Scope.ZONE else worker.cell):
                 return False
-        return not self._is_cold(worker.since, now) or self._budget(worker, now, txn)
+        if not self._is_cold(worker.since, now):
+            return True
+        return self._turn(worker.kind, worker.since, now, worker.turn) >= 0
 
     def _sound(self, worker: Worker, txn: Txn) -> bool:
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
@@ -600,44 +607,40 @@
     def _is_cold(self, since: float, now: float) -> bool:
         return since > 0.0 and now - since < self.terms.duties.warm_within + self.terms.duties.push_span
 
-    def _cost(self, worker: Worker, txn: Txn) -> float:
-        return self.runs[txn.taken.scheme].mean() / worker.kind.pace() * max(1.0, txn.taken.slots)
+    def _cost(self, txn: Txn) -> float:
+        """In mean txns."""
+        return self.runs[txn.taken.scheme].mean() / self.mean_run * max(1.0, txn.taken.slots)
 
-    def _budget(self, worker: Worker, now: float, txn: Txn) -> bool:
-        """Whether this scheduler's turns at a cold worker still hold this txn."""
-        # Time since its start, told to all alike, is cut into spans; what it bears in two is given out in
-        # whole txns, in turn: one part in the number of schedulers was under one txn, and left it idle.
-        duties = self.terms.duties
-        if now - self.born < duties.push_span:  # what a scheduler killed just now sent is not known here
-            return False
-        while worker.pushed and worker.pushed[0] < now - duties.push_span:
-            worker.pushed.popleft()
-        span, rank = self._turn(worker.since, now)
-        age = max(0, span - 1) * duties.push_span
-        bears = min(1.0, duties.cold_share + (1.0 - duties.cold_share) * age / duties.warm_within)
-        ahead = self._turns_in(worker.kind, bears, self._cost(worker, txn)) - rank
-        start = worker.since + span * duties.push_span
-        return sum(at >= start for at in worker.pushed) * self.terms.schedulers < ahead
-
-    def _turn(self, since: float, now: float) -> tuple[int, int]:
-        """The span under way at a worker that started then, and how many turns in it come before the own."""
-        span = int(max(0.0, now - since) // self.terms.duties.push_span)
-        return span, (self.terms.position + crc32(b"%d" % since) + span * STRIDE) % self.terms.schedulers
-
-    def _turns_in(self, kind: Kind, bears: float, cost: float) -> int:
-        """Whole txns, over all schedulers, in one span of a worker at that part of its capacity."""
+    def _bears(self, since: float, now: float) -> float:
+        """The part of its capacity that a worker has at least."""
+        share, age = self.terms.duties.cold_share, now - since
+        return min(1.0, share + (1.0 - share) * max(0.0, age) / self.terms.duties.warm_within)
+
+    def _earned(self, kind: Kind, age: float) -> int:
+        """Whole txns, over all schedulers, that a worker of this kind may be sent by that age."""
         duties = self.terms.duties
-        span = duties.push_span / 2.0 * max(kind.slots, UNHEARD_SLOTS)
-        total = COLD_MARGIN * duties.push_factor * bears * span
-        return int(total / max(cost, self.mean_run / kind.pace()))
+        ramp = min(max(0.0, age), duties.warm_within)
+        full = ramp * (duties.cold_share + (1.0 - duties.cold_share) * ramp / duties.warm_within / 2.0)
+        time = COLD_MARGIN * duties.push_factor * (full + max(0.0, age - ramp))
+        return int(time * max(kind.slots, UNHEARD_SLOTS) * kind.pace() / self.mean_run + 0.5)
+
+    def _turn(self, kind: Kind, since: float, now: float, taken: int) -> int:
+        """The own turn at a cold worker that is open and not taken yet, or -1."""
+        # Its start is told to all alike: what it has earned since is given out in whole txns, to one
+        # scheduler after the other. Rounded down in every span by itself, two thirds of it stood idle.
+        schedulers, span = self.terms.schedulers, self.terms.duties.push_span
+        # What a scheduler killed just now sent is not known here: its turns from before have passed.
+        least = max(taken + 1, self._earned(kind, max(now - span, self.born) - since))
+        turn = least + (self.terms.position - crc32(b"%d" % since) - least) % schedulers
+        return turn if turn < self._earned(kind, now - since) else -1
 
     def _turns(self, now: float) -> list[Worker]:
         """Cold workers at which this scheduler may have a turn now; looked for a few times in a span."""
         if now - self.turns_at >= self.terms.duties.push_span / 4.0:
-            most = max((self._turns_in(kind, 1.0, 0.0) for kind in self.kinds.values()), default=0)
-            here = [index for index, since in self.cold.items() if self._turn(since, now)[1] < most]
-            self.turns = [self.workers.get(index) or self._meet(self.listed[index]) for index in here]
-            self.turns_at = now
+            self.turns, self.turns_at = [], now
+            for index, since in self.cold.items():
+                if self._turn(self.kinds[self.listed[index].kind], since, now, -1) >= 0:
+                    self.turns.append(self.workers.get(index) or self._meet(self.listed[index]))
         return [worker for worker in self.turns if worker.ready and not worker.drawn]
 
     # News of postings
