Ask a shared discovery for changes now and then in place of a watch by every scheduler

Each watch of 60 live ratings brings its next update as soon as the last is out, three of them and 39 that asked again within 0.5 to 8 s kept the service too full to answer anyone in time. At fault: the endless loop of Roster._watch and the pauses of _unfollowed, which hang on schedulers to a worker, not on schedulers. Ruled out: the whole list in place of changes (nobody answered in 30 s), discovery being down (alone it answers).

Change: where the settings say that the list must be asked for, the module asks for what has changed so far, within the time that the settings name (seven tenths of it to the whole), a restarted one within six tenths of it, one turned away after four tenths, doubling; a success halves the count of refusals. The version of the list given at start is used there, which spares the whole list. Else nothing changes: a watch, as before. The simulator's wire keeps its subscription.

--- a/sableford/intake/charter.py
+++ b/sableford/intake/charter.py
@@ -51,6 +51,7 @@
     fall_s: float
     start_capacity: float
     warm_within_s: float
+    ask_within_s: float = 10.0
 
 
 class _LoadInfo(msgspec.Struct):
@@ -147,6 +148,7 @@
         progress=facts.progress_s * 1000.0,
         live=profile.weights == "live",
         follows=profile.registry_mode == "subscribe",
+        ask_within=owed.ask_within_s * 1000.0 if profile.registry_mode == "subscribe" else 0.0,
         waiting=places.get("depth", -1),
         handled=places.get("concurrent", -1),
         free_slots=meanings.get("free slots", -1),
--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -53,6 +53,9 @@
 FULL_REST = 150.0  # ms without postings after a worker turned one away
 
 FOLLOW_AGAIN = 500.0  # ms before the roster is asked for again, at first; well under its own lateness
+ASK_EARLY = 0.6  # of the time to ask within: who comes up asks by then, and all that came up with it too
+ASK_LEAST = 0.7  # of the time to ask within: sooner, all together asked more than one service could answer
+ASK_AGAIN = 0.4  # of the time to ask within, at first, for one turned away
 
 # Waiting and moving
 PATROL = 100.0  # ms between looks while txns are held or postings wait to start
@@ -232,11 +235,14 @@
         self.effects = []
         if self.born < 0.0:
             self.born = now
-            if self.terms.follows:
-                self.effects.append(Follow())
+            if self.terms.follows and not self.terms.ask_within:
+                self.effects.append(Follow(once=False))
         self.handlers[type(event)](now, event)
         if self.held or self.follow_at or self.active:
-            after = PATROL if self.held or self.unstarted or self.follow_at else REST
+            after = PATROL if self.held or self.unstarted else REST
+            if self.follow_at:
+                due = max(PATROL, self.follow_at - now)
+                after = min(after, due) if self.active or self.held else due
             # Sooner where something was held since; a wake-up may come a rounding early and count as none.
             if self.wake_at <= now + 1.0 or now + after < self.wake_at - PATROL / 2.0:
                 self.wake_at = now + after
@@ -808,7 +814,7 @@
     def _patrol(self, now: float, event: events.Woken) -> None:
         if self.follow_at and now >= self.follow_at:
             self.follow_at = 0.0
-            self.effects.append(Follow())
+            self.effects.append(Follow(once=self.terms.ask_within > 0.0))
         silence = self.terms.progress and self.terms.progress * STILL + STILL_SLACK
         late: list[int] = []
         for worker in [*self.drawn, *(worker for worker in self.active.values() if not worker.drawn)]:
@@ -860,11 +866,17 @@
     def _unfollowed(self, now: float, event: events.Unfollowed) -> None:
         """Ask again after a pause that doubles, drawn by chance so that schedulers don't all call at once."""
         pause = FOLLOW_AGAIN * self.crowd * 2.0 ** min(self.refused, 3)
+        if self.terms.ask_within:  # forty asking again within seconds kept one service too full to answer any
+            pause = self.terms.ask_within * ASK_AGAIN * 2.0 ** min(self.refused, 2)
         self.refused += 1
         self.follow_at = now + pause * (1.0 + self._chance(1000) / 1000.0)
 
     def _roster(self, now: float, event: Roster) -> None:
-        self.refused = 0
+        self.refused = self.refused // 2 if self.terms.ask_within else 0
+        if self.terms.ask_within:
+            part = self._chance(1000) / 1000.0
+            part = ASK_LEAST + (1.0 - ASK_LEAST) * part if self.listed else ASK_EARLY * part
+            self.follow_at = now + self.terms.ask_within * part * bool(self.listed or event.lines) + 1.0
         for line in event.lines:
             if line.kind not in self.kinds:
                 self.kinds[line.kind] = Kind(line.kind, self.runs)
--- a/sableford/model/effects.py
+++ b/sableford/model/effects.py
@@ -44,7 +44,9 @@
 
 
 class Follow(NamedTuple):
-    """Ask for the roster's changes from now on; what was missed comes first."""
+    """Ask for the roster's changes from now on, or `once` those until now; what was missed first."""
+
+    once: bool
 
 
 Effect = Post | CallOff | Decline | Reverse | Wake | Probe | Follow
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -61,7 +61,8 @@
 
 class Terms(NamedTuple):
     """Everything the core knows at start. The last four say which report figure stands where, -1 for none;
-    `live` that a worker's rating falls with what it holds, `follows` that the roster must be asked for."""
+    `live` that a worker's rating falls with what it holds, `follows` that the roster must be asked for;
+    `ask_within`: that it is a service all schedulers share, to be asked that often, 0 where it is not."""
 
     schedulers: int
     position: int
@@ -74,6 +75,7 @@
     progress: float
     live: bool
     follows: bool
+    ask_within: float
     waiting: int
     handled: int
     free_slots: int
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -46,11 +46,12 @@
         lambda loop, told: log.say("unhandled", **{k: repr(v) for k, v in told.items()})
     )
     listener, clock = listening(berth), Clock(loop)
-    roster = Roster(berth.discovery, limits, charter, log)
+    first, revision = first_list(berth.known, charter, log)
+    roster = Roster(berth.discovery, revision, limits, charter, log)
     desk = Desk(charter, berth.seed, roster.mail, clock, limits, log)
     gate = Gate(listener, desk.mail, clock, limits, charter, log)
     keeper = Keeper(path, log)
-    desk.mail.put(first_list(berth.known, charter, log))  # lies there before any txn can
+    desk.mail.put(first)  # lies there before any txn can
     for stop in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop, gate.mail.put, Leave())
     loop.add_signal_handler(signal.SIGHUP, keeper.mail.put, Reread())
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -102,7 +102,7 @@
         """A module that knows nothing yet."""
         seed = crc32(b"%s:%d" % (self._seed.encode(), self._starts))
         self._starts += 1
-        # On sockets the list always has to be asked for.
+        # On sockets the list always has to be asked for, once or over and over.
         self._core = Scheduler(self._charter.terms._replace(follows=True), seed)
         self._door = Door()
         self._posted: dict[Request, list[str]] = {}  # the workers of its postings, by number
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -43,7 +43,7 @@
     probe: float = 1000.0  # for a worker to answer a probe
     way: float = 5.0  # taken off a client's time: its way here and the answer's way back
     watch: float = 20_000.0  # a watch of the list waits this long for news
-    silence: float = 2000.0  # past a call's own wait, discovery counts as silent
+    silence: float = 2500.0  # past a call's own wait, discovery counts as silent; it gives up after 2000
     call: float = 600.0  # to reach discovery, which is on this machine
     moving: float = 4000.0  # a new address of discovery may take this long to come up
     again: float = 100.0  # between two tries at a new address
--- a/sableford/net/roster.py
+++ b/sableford/net/roster.py
@@ -23,11 +23,14 @@
 
 
 class Roster:
-    def __init__(self, address: tuple[str, int], limits: Limits, charter: Charter, log: Log) -> None:
+    def __init__(
+        self, address: tuple[str, int], revision: int | None, limits: Limits, charter: Charter, log: Log
+    ) -> None:
         self.mail = Mailbox()
         self._address, self._limits, self._charter, self._log = address, limits, charter, log
-        self._revision: int | None = None  # none: the whole list is asked for first
+        self._revision = revision  # none: the whole list is asked for first
         self._line: Peer | None = None
+        self._heard = False  # since it was lost, or at all
         self._moved_at = -1e12  # by the loop's time
 
     async def run(self, desk: Mailbox) -> None:
@@ -61,7 +64,8 @@
         """One watch to its end, which is told; just moved, it is tried anew until the address is up."""
         while True:
             try:
-                await self._watch(desk)
+                await self._watch(desk, self._charter.terms.ask_within > 0.0)
+                return
             except Exception as problem:
                 self._hang_up()
                 since = (asyncio.get_running_loop().time() - self._moved_at) * 1000.0
@@ -69,21 +73,21 @@
                     await asyncio.sleep(self._limits.again / 1000.0)
                     continue
                 self._log.say("discovery_lost", problem=repr(problem))
+                self._heard = False
                 desk.put(Unheard())
                 return
 
-    async def _watch(self, desk: Mailbox) -> None:
-        """Call again at once after each answer; ends only by failing."""
-        heard = False
+    async def _watch(self, desk: Mailbox, once: bool) -> None:
+        """Call again at once after each answer, till that fails; or but once, for what has changed so far."""
         while True:
             target, wait = wire.LIST, 0.0
             if self._revision is not None:
-                wait = self._limits.watch
+                wait = 0.0 if once else self._limits.watch
                 target += f"?after={self._revision}&wait_ms={int(wait)}"
             listing = wire.listing(await self._get(target.encode(), wait), self._charter)
-            if not heard:
+            if not self._heard:
                 self._log.say("discovery_heard", revision=listing.revision, complete=listing.complete)
-            heard = True
+            self._heard = True
             for why in listing.senseless:
                 self._log.say("senseless_line", why=why)
             # Older news than what is known would bring back workers that left: the whole list tells.
@@ -92,11 +96,15 @@
                 self._revision = None
                 continue
             self._revision = listing.revision
-            if listing.complete or listing.addresses:
+            if listing.complete or listing.addresses or once:
                 desk.put(Told(listing.sheet, listing.complete, listing.addresses))
+            if once:
+                return
 
     async def _get(self, target: bytes, wait: float) -> bytes:
         limits, body = self._limits, bytearray()
+        if self._log.each_txn:
+            self._log.say("listing_asked", target=target)
         async with asyncio.timeout((wait + limits.silence) / 1000.0):
             if self._line is None or not self._line.usable():
                 async with asyncio.timeout(limits.call / 1000.0):
@@ -115,15 +123,19 @@
             if not self._line.next_cycle():
                 self._line.close()
                 self._line = None
+        if self._log.each_txn:
+            self._log.say("listing_told", size=len(body))
         return bytes(body)
 
 
-def first_list(text: bytes, charter: Charter, log: Log) -> Told:
-    """The list as this scheduler last had it; it may be old, so its version is not kept."""
+def first_list(text: bytes, charter: Charter, log: Log) -> tuple[Told, int | None]:
+    """The list as this scheduler last had it; it may be old, so its version is kept only where each answer
+    costs a service that all share, and the whole list three times what has changed."""
     try:
         listing = wire.listing(text, charter)
     except msgspec.MsgspecError as problem:
         raise ValueError(f"known: {problem}") from problem
     for why in listing.senseless:
         log.say("senseless_line", why=why)
-    return Told(listing.sheet, True, listing.addresses)
+    kept = charter.terms.ask_within > 0.0 and listing.complete and len(listing.addresses) > 0
+    return Told(listing.sheet, True, listing.addresses), listing.revision if kept else None
--- a/sableford/simhost/__main__.py
+++ b/sableford/simhost/__main__.py
@@ -36,7 +36,8 @@
     def __init__(self, number: int, seed: int, text: bytes) -> None:
         self.number = number
         self.door = Door()
-        self.core = Scheduler(read_charter(text).terms, seed)
+        # On this wire what was asked for once goes on coming.
+        self.core = Scheduler(read_charter(text).terms._replace(ask_within=0.0), seed)
 
     def tell(self, now: float, event: Event, reply: wire.Reply) -> None:
         for effect in self.core.handle(now, event):
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -1,5 +1,7 @@
 """Plain asserts on many schedulers at once, which share nothing but what all are told."""
 
+from heapq import heappop, heappush
+
 from tests.helper import START, Play
 
 MANY = 300
@@ -43,6 +45,41 @@
     assert len(counts) == 40 and max(counts.values()) < 3 * len(posts) / 40, counts
 
 
+def shows_a_restarted_crowd_hears_from_a_list_service_that_answers_five_a_second() -> None:
+    # It turns away what would wait over 4 s and gives up what has waited 2 s, its work on that lost.
+    scenes, told, due, free_at = [], {}, [], 0.0
+    for position in range(40):
+        scene = Play()
+        scene.terms = {"schedulers": 40, "position": position, "follows": 1, "ask": 10_000}
+        scene.scheme("quote", "repeatable")
+        scenes.append(scene)
+        due.append((float(position), position, "roster A"))
+    due.sort()
+    for at in range(100, 40_000, 100):
+        due += [(float(at), position, "wait") for position in range(40)]
+        due.sort()
+        while due and due[0][0] <= at:
+            now, position, step = heappop(due)
+            scenes[position].step(f"{now} {step}".split())
+            if step == "roster B":
+                told.setdefault(position, []).append(now)
+            for _ in range(sum(word in ("ask", "follow") for word in scenes[position].told)):
+                begins = max(now, free_at)
+                if begins > now + 4000.0:
+                    heappush(due, (now + 20.0, position, "unfollow"))
+                    continue
+                free_at = begins + 200.0
+                late = free_at > now + 2000.0
+                heappush(
+                    due, (now + 2000.0 if late else free_at, position, "unfollow" if late else "roster B")
+                )
+    firsts = sorted(times[0] for times in told.values())
+    assert len(firsts) == 40 and firsts[-1] < 20_000.0, firsts
+    for start in (0.0, 10_000.0, 20_000.0, 30_000.0):
+        heard = sum(start <= at < start + 10_000.0 for times in told.values() for at in times)
+        assert heard >= 25, (start, heard)
+
+
 def shows_a_part_of_an_allowance_below_one_txn_is_not_none() -> None:
     scene = Play()
     scene.terms = {"schedulers": MANY, "allowance": 30.0}
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -8,7 +8,7 @@
     0 roster A; B since=-100 zone=1; W1-W9 draining   lines of the list
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
     9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
-    effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A
+    effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A | follow | ask (once)
 
 On sockets (`tests/sockets/`) a scheduler runs on loopback among stubs. Steps have no times: each acts at
 once, and a claim waits for what it names: with a count of 0 a moment for it not to come, after `now` not at
@@ -130,6 +130,7 @@
                 progress=told["progress"],
                 live=bool(told.get("live", 0)),
                 follows=bool(told.get("follows", 0)),
+                ask_within=told.get("ask", 0.0),
                 waiting=int(told.get("line", 0)),
                 handled=-1,
                 free_slots=int(told["free"]),
@@ -219,8 +220,8 @@
                     self.told.append(f"decline {txns[txn]}")
                 case Reverse(txn):
                     self.told.append(f"reverse {txns[txn]}")
-                case Follow():
-                    self.told.append("follow")
+                case Follow(once):
+                    self.told.append("ask" if once else "follow")
                 case Probe(worker):
                     self.told.append(f"probe {workers[worker]}")
 
@@ -283,7 +284,7 @@
     def __init__(self) -> None:
         self.told: list[str] = []
         self.terms = options(
-            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2".split()
+            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2 ask=0".split()
         )
         self.schemes: list[dict] = []
         self.limits: dict[str, float] = {}
@@ -337,7 +338,9 @@
                 "fall_s": 2,
                 "start_capacity": 0.2,
                 "warm_within_s": 9,
+                "ask_within_s": told["ask"],
             },
+            "registry_mode": "subscribe" if told["ask"] else "automatic",
             "load_info": {"columns": ["depth", "x0"], "via": "inline"},
             "specifics": {
                 "report_x0": "free slots",
