--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -50,10 +50,6 @@
 FAULTY = 0.15  # of finishes: far over what healthy workers return, under the mildest fault worth leaving for
 SHUN = 500.0  # ms without postings after a failed connection; doubled at each further one
 SHUN_MOST = 4000.0  # ms: a worker that came back is found within this
-FALL_MEMORY = 5000.0  # ms: decay of the count of workers found dead in a zone; some turns of the draw
-FALL_WEIGHT = 3.0  # sound ones taken for granted, so that two in a row are a finding, one alone is not
-FALLING = 0.3  # of the workers met: with more dead, one that gave no sign since is doubted
-DOUBTED = 2  # postings of a txn that may go to a doubted worker: the rest of them is for proven ones
 FULL_REST = 150.0  # ms without postings after a worker turned one away
 
 FOLLOW_AGAIN = 500.0  # ms before the roster is asked for again, at first; well under its own lateness
@@ -147,23 +143,6 @@
         return self.held / self.heard * exp(-silence / KIND_FADE)
 
 
-class Zone:
-    """Workers that may fail together: how many of those met since the first of them fell were dead."""
-
-    def __init__(self) -> None:
-        self.fallen, self.sound, self.at, self.since = 0.0, 0.0, 0.0, 0.0
-
-    def meet(self, now: float, dead: bool) -> None:
-        fade = exp((self.at - now) / FALL_MEMORY)
-        self.fallen, self.sound, self.at = self.fallen * fade + dead, self.sound * fade + (not dead), now
-        if dead and self.fallen < 1.5:  # the first of a series
-            self.sound, self.since = 0.0, now
-
-    def falls(self, now: float) -> bool:
-        fade = exp((self.at - now) / FALL_MEMORY)
-        return self.fallen * fade > FALLING * ((self.fallen + self.sound) * fade + FALL_WEIGHT)
-
-
 class Run:
     """The mean run of one scheme's txns over the fleet: running time spent for each finish."""
 
@@ -229,7 +208,6 @@
         self.chosen: Worker | None = None
         self.turn, self.scouted, self.drift, self.mean_run = -1, 0.0, 1.0, 1.0
         self.kinds: dict[int, Kind] = {}
-        self.zones: dict[int, Zone] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
         self.needs = sorted({scheme.kind for scheme in terms.schemes})
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
@@ -479,8 +457,7 @@
             if worker.waits:
                 continue
             index, room = self._index(worker, now, need, size)
-            later = (sound and worker.pace < SLOW) or self._doubted(worker, now)
-            spare = reserve if later else indices
+            spare = reserve if sound and worker.pace < SLOW else indices
             (spare if room else full).append((index, worker))
         if not indices and (stranger := self._widen(now, txn, size)):
             return stranger
@@ -588,8 +565,6 @@
         for worker in islice(self._strangers(self.open, kind), WIDEN):
             if worker.waits or worker.pace < SLOW or not self._sound(worker, txn):
                 continue
-            if self._doubted(worker, now):
-                continue
             if self._allowed(worker, now, txn) and self._index(worker, now, self._need(txn), size)[1]:
                 self._draw(worker)
                 return worker
@@ -612,8 +587,6 @@
         scheme = self.terms.schemes[txn.taken.scheme]
         if not worker.ready or now < worker.rest_until or scheme.kind not in (-1, worker.kind.index):
             return False
-        if txn.posted >= DOUBTED and self._doubted(worker, now):
-            return False
         if txn.origin is not None and scheme.repeats is Repeats.REFERENCED:
             first = txn.origin
             if now - first.sent > scheme.span - LAST_CALL:
@@ -632,12 +605,6 @@
         again = self.terms.schemes[txn.taken.scheme].repeats is not Repeats.ONCE_ONLY
         return again and txn.posted == 0 and all(posting.mute for posting in worker.postings.values())
 
-    def _doubted(self, worker: Worker, now: float) -> bool:
-        """Whether its zone loses workers and it gave no sign of life since."""
-        # With a zone gone each txn met one dead worker after the other, until it had no posting left.
-        zone = self.zones[worker.zone]
-        return zone.fallen > 0.0 and max(worker.heard, worker.since) < zone.since and zone.falls(now)
-
     def _suspect(self, worker: Worker) -> bool:
         return worker.faults > FAULTY * (worker.faults + worker.sound + FAULT_WEIGHT)
 
@@ -749,13 +716,8 @@
         worker.faults, worker.sound, worker.judged = worker.faults * fade, worker.sound * fade, now
         if posting.started and not posting.mute:
             worker.running[posting.scheme] -= 1
-        if ending in (Ending.SETTLED, Ending.FULL, Ending.ERROR):
-            worker.heard = now
-            self.zones[worker.zone].meet(now, dead=False)
-        elif ending is Ending.NO_CONNECTION and not worker.misses:
-            self.zones[worker.zone].meet(now, dead=True)
         if ending is Ending.SETTLED:
-            worker.still, worker.misses = False, 0
+            worker.still, worker.misses, worker.heard = False, 0, now
             worker.sound += 1.0
             if posting.started:
                 worker.done += 1.0
@@ -918,7 +880,6 @@
         for line in event.lines:
             if line.kind not in self.kinds:
                 self.kinds[line.kind] = Kind(line.kind, self.runs)
-            self.zones.setdefault(line.zone, Zone())
             self.listed[line.worker] = line
             if line.standing is Standing.GONE:
                 del self.listed[line.worker]
