--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -306,7 +306,8 @@
         patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
         limit = min(now + patience, event.expiry - LAST_CALL)
         txn = self.txns[event.txn] = Txn(event, limit, self._beyond_share(now, event.account))
-        if self.terms.tells_start:
+        # Of others the clients come back at once, and where a call-off drops nothing each ran several times.
+        if self.terms.tells_start and scheme.repeats is Repeats.ONCE_ONLY:
             txn.hopeless = now + scheme.sla + max(0.0, scheme.stretch - 1.0) * HOPE * typical / TYPICAL
         if self._wait_ahead(now, self._lane(txn)) > ADMITTED * patience:
             self._step(now, event.txn, Input.LATE)
@@ -816,7 +817,6 @@
             self.effects.append(Follow(once=self.terms.ask_within > 0.0))
         silence = self.terms.progress and self.terms.progress * STILL + STILL_SLACK
         late: list[int] = []
-        vain = self._vain()
         for worker in [*self.drawn, *(worker for worker in self.active.values() if not worker.drawn)]:
             self._measure(worker, now)
             self._look(worker, now)
@@ -827,9 +827,7 @@
                     worker.running[posting.scheme] -= 1
                 # Lines of txns too late to earn anything grew until nothing in them was in time.
                 elif not posting.started and now > self.txns[index].hopeless and not posting.called_off:
-                    # Clients of others come back at once: where it drops nothing each ran several times.
-                    once = self.terms.schemes[posting.scheme].repeats is Repeats.ONCE_ONLY
-                    late += [index] if once or not vain else []
+                    late.append(index)
             # One answer lost on the way took its worker out until the expiry: news of others there clears it.
             mute = any(posting.mute for posting in worker.postings.values())
             worker.still = mute and now - worker.heard > silence
@@ -843,7 +841,8 @@
 
     def _move(self, worker: Worker, now: float) -> None:
         """Call off what stands in line or still there, where it may go again and another has room now."""
-        vain = self._vain()
+        # Where a call-off drops nothing, moves from line to line made each txn run several times.
+        vain = self.landed + MOVE_WEIGHT < LANDING * (self.moves + MOVE_WEIGHT)
         for (index, _), posting in list(worker.postings.items()):
             txn = self.txns[index]
             scheme = self.terms.schemes[txn.taken.scheme]
@@ -858,11 +857,6 @@
             if other is not None and other is not worker:
                 self._step(now, index, Input.STALLED)
 
-    def _vain(self) -> bool:
-        """Whether most moves of late began nowhere: all lines are full, or a call-off drops nothing."""
-        # Where a call-off drops nothing, moves from line to line made each txn run several times.
-        return self.landed + MOVE_WEIGHT < LANDING * (self.moves + MOVE_WEIGHT)
-
     def _count_moves(self, now: float, moves: float, landed: float) -> None:
         fade = exp((self.moves_at - now) / MOVE_MEMORY)
         self.moves, self.landed, self.moves_at = self.moves * fade + moves, self.landed * fade + landed, now
