Open a door for operators; workers out by hand are events to the module

Change: net/console.py (one call a connection, answered from what the desk told it before, ban at the front of the desk's mailbox); Banned to the module, which keeps the roster's lines apart from what holds; a return is cold from the call on; what waits at a banned worker is moved. Ruled out: cold overload at the return (no rule broken with two schedulers whose calls come some 30 ms apart).

--- a/sableford/intake/door.py
+++ b/sableford/intake/door.py
@@ -65,6 +65,14 @@
     def worker(self, wid: Hashable) -> int | None:
         return self._workers.get(wid)
 
+    def index(self, wid: Hashable) -> int:
+        """The worker's index, listed or not."""
+        worker = self._workers.get(wid)
+        if worker is None:
+            worker = self._workers[wid] = len(self.worker_ids)
+            self.worker_ids.append(wid)
+        return worker
+
     def roster(self, sheet: Sheet, complete: bool) -> Roster:
         """What a sheet changes; most say nothing but new ratings, which are read where they are used."""
         known = self._listed
@@ -77,10 +85,7 @@
         return Roster(tuple(lines), lambda worker: ratings.get(ids[worker], 0.0))
 
     def _line(self, wid: Hashable, fact: tuple, standing: Standing) -> Listed:
-        worker = self._workers.get(wid)
-        if worker is None:
-            worker = self._workers[wid] = len(self.worker_ids)
-            self.worker_ids.append(wid)
+        worker = self.index(wid)
         if standing is Standing.GONE:
             self._listed.pop(wid, None)
         else:
--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -11,7 +11,7 @@
 from math import exp
 from zlib import crc32
 
-from sableford.model import Repeats, Scheme, Scope, Terms, events
+from sableford.model import Banned, Repeats, Scheme, Scope, Terms, events
 from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
 from sableford.model.events import NEVER_RAN, Ended, Ending, Event, Listed, Roster, Standing, Started, Taken
 
@@ -196,7 +196,9 @@
         # Where no figure counts the waiting line, own postings in it hid the others' running ones.
         self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
         self.txns: dict[int, Txn] = {}
-        self.listed: dict[int, Listed] = {}
+        self.listed: dict[int, Listed] = {}  # what holds: the roster under the bans
+        self.roster: dict[int, Listed] = {}  # its own lines
+        self.bans: dict[int, Banned] = {}  # the last word by hand on each worker
         self.open: list[int] = []  # ready by the roster, and warm
         self.near: list[int] = []  # and of the own zone
         self.workers: dict[int, Worker] = {}  # drawn or sent to
@@ -229,6 +231,7 @@
             events.Woken: self._patrol,
             events.Sampled: self._sampled,
             Roster: self._roster,
+            Banned: self._banned,
             events.Unfollowed: self._unfollowed,
         }
 
@@ -388,7 +391,7 @@
         if self.line_shown:
             self._show(worker, need, now)
         if self._is_cold(worker.since, now):
-            turn = self._turn(worker.kind, worker.since, now, worker.turn)
+            turn = self._turn(worker.index, worker.kind, worker.since, now, worker.turn)
             # One that costs more than a mean txn pays with the own turns that come next.
             worker.debt = max(0.0, worker.debt + self._cost(txn) - 1.0)
             worker.turn = turn + int(worker.debt) * self.terms.schedulers
@@ -597,7 +600,7 @@
                 return False
         if not self._is_cold(worker.since, now):
             return True
-        return self._turn(worker.kind, worker.since, now, worker.turn) >= 0
+        return self._turn(worker.index, worker.kind, worker.since, now, worker.turn) >= 0
 
     def _sound(self, worker: Worker, txn: Txn) -> bool:
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
@@ -631,14 +634,16 @@
         time = COLD_MARGIN * duties.push_factor * (full + max(0.0, age - ramp))
         return int(time * max(kind.slots, UNHEARD_SLOTS) * kind.pace() / self.mean_run + 0.5)
 
-    def _turn(self, kind: Kind, since: float, now: float, taken: int) -> int:
+    def _turn(self, index: int, kind: Kind, since: float, now: float, taken: int) -> int:
         """The own turn at a cold worker that is open and not taken yet, or -1."""
         # Its start is told to all alike: what it has earned since is given out in whole txns, to one
         # scheduler after the other. Rounded down in every span by itself, two thirds of it stood idle.
         schedulers, span = self.terms.schedulers, self.terms.duties.push_span
         # What a scheduler killed just now sent is not known here: its turns from before have passed.
         least = max(taken + 1, self._earned(kind, max(now - span, self.born) - since))
-        turn = least + (self.terms.position - crc32(b"%d" % since) - least) % schedulers
+        # Called back by hand it is cold from a time of each scheduler's own: the order hangs on the list.
+        order = crc32(b"%d" % self.roster[index].since)
+        turn = least + (self.terms.position - order - least) % schedulers
         return turn if turn < self._earned(kind, now - since) else -1
 
     def _turns(self, now: float) -> list[Worker]:
@@ -646,7 +651,7 @@
         if now - self.turns_at >= self.terms.duties.push_span / 4.0:
             self.turns, self.turns_at = [], now
             for index, since in self.cold.items():
-                if self._turn(self.kinds[self.listed[index].kind], since, now, -1) >= 0:
+                if self._turn(index, self.kinds[self.listed[index].kind], since, now, -1) >= 0:
                     self.turns.append(self.workers.get(index) or self._meet(self.listed[index]))
         return [worker for worker in self.turns if worker.ready and not worker.drawn]
 
@@ -847,7 +852,9 @@
         for (index, _), posting in list(worker.postings.items()):
             txn = self.txns[index]
             scheme = self.terms.schemes[txn.taken.scheme]
-            idle = posting.mute if posting.started else not vain and posting.waited(now)
+            # What stands in the line of one taken out by hand is lost at its restart, moves in vain or not.
+            stuck = worker.index in self.bans and self.bans[worker.index].out
+            idle = posting.mute if posting.started else stuck or (not vain and posting.waited(now))
             left = self.terms.tariff.postings - (not posting.started) - txn.posted
             free = txn.state is State.OUT and not posting.called_off and left > 0 and now < txn.limit
             if not (idle and free) or scheme.repeats is Repeats.ONCE_ONLY:
@@ -880,31 +887,53 @@
             part = ASK_LEAST + (ASK_MOST - ASK_LEAST) * part if self.listed else ASK_EARLY * part
             self.follow_at = now + self.terms.ask_within * part * bool(self.listed or event.lines) + 1.0
         for line in event.lines:
-            if line.kind not in self.kinds:
-                self.kinds[line.kind] = Kind(line.kind, self.runs)
-            self.listed[line.worker] = line
-            if line.standing is Standing.GONE:
-                del self.listed[line.worker]
-            if (worker := self.workers.get(line.worker)) is not None:
-                if line.since != worker.since:
-                    worker.forget()
-                    worker.touched = now
-                worker.ready, worker.since = line.standing is Standing.READY, line.since
+            self._list(line, now)
         if event.lines:
-            ready = [line for line in self.listed.values() if line.standing is Standing.READY]
-            self.cold = {new.worker: new.since for new in ready if self._is_cold(new.since, now)}
-            self.warming = sorted((since, index) for index, since in self.cold.items())
-            self.open, self.near = [], []
-            for line in ready:
-                if line.worker not in self.cold:
-                    self._warm(line)
-            self.crowd = max(1.0, self.terms.schedulers / max(1, len(ready)))
-            self._redraw(now)
+            self._sort(now)
         for worker in self.drawn if self.terms.live else ():
             if (rating := event.rating(worker.index)) > 0.0:
                 self._weigh(worker, rating, now)
         self._pump(now)
 
+    def _banned(self, now: float, event: Banned) -> None:
+        self.bans[event.worker] = event
+        if (line := self.roster.get(event.worker)) is not None:
+            self._list(line, now)
+            self._sort(now)
+        if event.worker in self.active and self.terms.tariff.call_off:
+            self._move(self.active[event.worker], now)
+        self._pump(now)
+
+    def _list(self, told: Listed, now: float) -> None:
+        """One line of the roster, and what of it holds under what was said by hand."""
+        if told.kind not in self.kinds:
+            self.kinds[told.kind] = Kind(told.kind, self.runs)
+        line, ban = told, self.bans.get(told.worker)
+        if ban is not None and not ban.out:  # operators restarted it, whatever start the list knows of
+            line = told._replace(since=max(told.since, ban.at))
+        elif ban is not None and told.standing is Standing.READY:
+            line = told._replace(standing=Standing.DRAINING)
+        self.roster[told.worker], self.listed[told.worker] = told, line
+        if told.standing is Standing.GONE:
+            del self.roster[told.worker], self.listed[told.worker]
+        if (worker := self.workers.get(told.worker)) is not None:
+            if line.since != worker.since:
+                worker.forget()
+                worker.touched = now
+            worker.ready, worker.since = line.standing is Standing.READY, line.since
+
+    def _sort(self, now: float) -> None:
+        """Who is cold and who is open, after the list has changed."""
+        ready = [line for line in self.listed.values() if line.standing is Standing.READY]
+        self.cold = {new.worker: new.since for new in ready if self._is_cold(new.since, now)}
+        self.warming = sorted((since, index) for index, since in self.cold.items())
+        self.open, self.near = [], []
+        for line in ready:
+            if line.worker not in self.cold:
+                self._warm(line)
+        self.crowd = max(1.0, self.terms.schedulers / max(1, len(ready)))
+        self._redraw(now)
+
     def _weigh(self, worker: Worker, rating: float, now: float) -> None:
         """A live rating is a report too: its kind's size over one more than the jobs held per slot."""
         kind = worker.kind
--- a/sableford/model/__init__.py
+++ b/sableford/model/__init__.py
@@ -2,6 +2,7 @@
 
 from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
 from sableford.model.events import (
+    Banned,
     Ended,
     Ending,
     Event,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "Account",
+    "Banned",
     "CallOff",
     "Decline",
     "Duties",
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -103,8 +103,16 @@
     rating: Callable[[int], float]
 
 
+class Banned(NamedTuple):
+    """Operators took a worker out by hand at that time, or (`out` false) called it back, cold."""
+
+    worker: int
+    out: bool
+    at: float
+
+
 class Unfollowed(NamedTuple):
     """The roster's changes were asked for in vain, or stopped coming."""
 
 
-Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster | Unfollowed
+Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster | Banned | Unfollowed
--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -21,11 +21,12 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
+    console: tuple[str, int] | None  # the operators' door, if any
     seed: str
     known: bytes
     charter: Charter
     limits: Limits
-    filed: tuple[tuple[str, int], ...]  # where to listen and where discovery is by the file alone
+    filed: tuple[tuple[str, int] | None, ...]  # where to listen, discovery and the console by the file alone
 
     def decided(self) -> Charter:
         """The settings without those that are limits: the module has them for life."""
@@ -45,6 +46,7 @@
     limits: _Granted
     known: msgspec.Raw
     settings: msgspec.Raw
+    console: str = ""
 
 
 class Reread(NamedTuple):
@@ -76,6 +78,7 @@
                 for field, differs in (
                     ("name", read.name != berth.name),
                     ("listen", read.filed[0] != berth.filed[0]),
+                    ("console", read.filed[2] != berth.filed[2]),
                     ("settings", read.decided() != berth.decided()),
                 )
                 if differs
@@ -104,11 +107,14 @@
     except msgspec.MsgspecError as problem:
         raise ValueError(f"{path}: known: {problem}") from problem
     places, filed = [], []
-    for field, told in (("listen", text.listen), ("discovery", text.discovery)):
+    for field, told in (("listen", text.listen), ("discovery", text.discovery), ("console", text.console)):
         for found, where in ((filed, told), (places, os.environ.get(f"BALANCER_{field.upper()}", told))):
             try:
-                found.append(wire.address(where))
+                found.append(wire.address(where) if where or field != "console" else None)
             except ValueError as problem:
                 raise ValueError(f"{path}: {field}: {problem}") from problem
-    limits = granted(text.limits.sockets, text.limits.memory_mb, charter.idle, charter.connect)
-    return Berth(text.name, places[0], places[1], text.seed, bytes(text.known), charter, limits, tuple(filed))
+    listen, discovery, console = places
+    size = text.limits
+    limits = granted(size.sockets, size.memory_mb, charter.idle, charter.connect, console is not None)
+    known = bytes(text.known)
+    return Berth(text.name, listen, discovery, console, text.seed, known, charter, limits, tuple(filed))
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -14,6 +14,7 @@
 import sableford
 from sableford.net.berth import Berth, Keeper, Reread, read_berth
 from sableford.net.clients import Gate
+from sableford.net.console import Console
 from sableford.net.desk import Desk
 from sableford.net.log import Log
 from sableford.net.mail import Clock, Leave
@@ -22,19 +23,19 @@
 BAD_START, FAILED = 2, 70
 
 
-def listening(berth: Berth) -> socket.socket:
-    """The listening socket; a kill a moment ago does not keep the address taken."""
-    family = socket.AF_INET6 if ":" in berth.listen[0] else socket.AF_INET
+def listening(field: str, place: tuple[str, int], berth: Berth) -> socket.socket:
+    """A listening socket; a kill a moment ago does not keep the address taken."""
+    family = socket.AF_INET6 if ":" in place[0] else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # What a connection may hold unread is bounded there too, and handed down to each.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, berth.limits.chunk)
-        listener.bind(berth.listen)
+        listener.bind(place)
         listener.listen(berth.limits.backlog)
     except OSError as problem:
         listener.close()
-        raise ValueError(f"listen: {berth.listen[0]}:{berth.listen[1]}: {problem.strerror}") from problem
+        raise ValueError(f"{field}: {place[0]}:{place[1]}: {problem.strerror}") from problem
     listener.setblocking(False)
     return listener
 
@@ -45,23 +46,32 @@
     loop.set_exception_handler(
         lambda loop, told: log.say("unhandled", **{k: repr(v) for k, v in told.items()})
     )
-    listener, clock = listening(berth), Clock(loop)
+    listener, clock = listening("listen", berth.listen, berth), Clock(loop)
     first, revision = first_list(berth.known, charter, log)
     roster = Roster(berth.discovery, revision, limits, charter, log)
     desk = Desk(charter, berth.seed, roster.mail, clock, limits, log)
     gate = Gate(listener, desk.mail, clock, limits, charter, log)
     keeper = Keeper(path, log)
     desk.mail.put(first)  # lies there before any txn can
+    console = Console(desk.console, desk.mail, clock, limits, log)
+    if berth.console is not None:
+        console.open(listening("console", berth.console, berth))
+
+    def leave() -> None:
+        console.mail.put_first(Leave())
+        gate.mail.put(Leave())
+
     for stop in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(stop, gate.mail.put, Leave())
+        loop.add_signal_handler(stop, leave)
     loop.add_signal_handler(signal.SIGHUP, keeper.mail.put, Reread())
     actors = {
         loop.create_task(desk.run(), name="desk"): desk,
         loop.create_task(roster.run(desk.mail), name="roster"): roster,
         loop.create_task(gate.run(), name="gate"): gate,
+        loop.create_task(console.run(), name="console"): console,
         loop.create_task(keeper.run(berth, (roster.mail, desk.mail, gate.mail)), name="keeper"): keeper,
     }
-    log.say("serving", listen=berth.listen, clients=limits.clients, lines=limits.lines)
+    log.say("serving", listen=berth.listen, console=berth.console, clients=limits.clients, lines=limits.lines)
     done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
     for task in done:
         if (problem := task.exception()) is not None:
@@ -121,6 +131,8 @@
         _told(problem)
     charter, limits = berth.charter, berth.limits
     click.echo(f"{berth.name} listens on {berth.listen[0]}:{berth.listen[1]}")
+    if berth.console is not None:
+        click.echo(f"operators call {berth.console[0]}:{berth.console[1]}")
     click.echo(f"schemes: {', '.join(charter.schemes)}; schedulers: {charter.terms.schedulers}")
     click.echo(f"sockets: {limits.clients} for clients, {limits.lines} for workers")
 
--- /dev/null
+++ b/sableford/net/console.py
@@ -0,0 +1,166 @@
+"""The operators' door: calls on a second address, each answered at once with one line of text.
+
+It owns its listener and its callers. It must never wait for another actor before it answers, nor decide what
+a call changes: that is the desk's and the module's.
+"""
+
+import asyncio
+import socket
+from contextlib import suppress
+from http import HTTPStatus
+from typing import NamedTuple
+from urllib.parse import unquote
+
+import h11
+
+from sableford.net.http import Peer, admit
+from sableford.net.limits import Limits
+from sableford.net.log import Log
+from sableford.net.mail import Clock, Known, Leave, Mailbox, Rule
+
+GET, POST = (b"GET", b"HEAD"), (b"POST",)
+HEALTH, WORKERS = "healthcheck", "workers"
+DEEDS = {"maint": True, "ready": False}  # the last word of a call on a worker: whether it is out from then on
+
+
+class Verdict(NamedTuple):
+    status: int
+    text: str
+    rule: tuple[str, bool] | None = None
+
+
+NO_PATH, NO_METHOD = Verdict(404, "no such path"), Verdict(405, "not by this method")
+TOO_LARGE, UNREADABLE = Verdict(413, "too large"), Verdict(400, "can't be read")
+UP, LEAVING = Verdict(200, "takes clients"), Verdict(503, "leaving")
+
+
+def judge(method: bytes, target: bytes, known: frozenset[str], leaving: bool) -> Verdict:
+    """What one call gets. An id stands in the path percent-encoded, or as the list gives it.
+
+    >>> judge(b"POST", b"/workers/a%2Fb/maint", frozenset({"a/b"}), False).rule
+    ('a/b', True)
+    >>> judge(b"POST", b"/workers/w/ready?x=1", frozenset({"w"}), False)[:2]
+    (200, 'w may serve')
+    """
+    path = target.partition(b"?")[0].decode("latin-1")
+    match path.split("/"):
+        case ["", name] if name == HEALTH:
+            return NO_METHOD if method not in GET else LEAVING if leaving else UP
+        case ["", first, raw, word] if first == WORKERS and word in DEEDS:
+            if method not in POST:
+                return NO_METHOD
+            worker = next((name for name in (unquote(raw), raw) if name in known), None)
+            if worker is None:
+                return Verdict(404, "no such worker")
+            out = DEEDS[word]
+            return Verdict(200, f"{worker} {'is out' if out else 'may serve'}", (worker, out))
+    return NO_PATH
+
+
+class Console:
+    """Accepts callers; with too many the one that has been there longest without an answer goes."""
+
+    def __init__(self, mail: Mailbox, desk: Mailbox, clock: Clock, limits: Limits, log: Log) -> None:
+        self.mail = mail
+        self._desk, self._clock, self._limits, self._log = desk, clock, limits, log
+        self._listener: socket.socket | None = None
+        self._known: frozenset[str] = frozenset()
+        self._leaving = False
+        self._callers: dict[asyncio.Task, None] = {}  # the oldest first
+
+    def open(self, listener: socket.socket) -> None:
+        self._listener = listener
+
+    async def run(self) -> None:
+        acceptor = asyncio.create_task(self._accept()) if self._listener is not None else None
+        try:
+            while True:
+                for message in await self.mail.take():
+                    match message:
+                        case Known(workers):
+                            self._known = workers
+                        case Leave():
+                            self._leaving = True
+        finally:
+            for task in (acceptor, *self._callers):
+                if task is not None:
+                    task.cancel()
+            if self._listener is not None:
+                self._listener.close()
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self._listener)
+            except OSError as problem:  # out of descriptors
+                self._log.say("accept_failed", problem=repr(problem))
+                await asyncio.sleep(0.05)
+                continue
+            # Callers that say nothing stood where the next one had to: the oldest makes room, never the new.
+            if len(self._callers) >= self._limits.callers:
+                oldest = next(iter(self._callers))
+                del self._callers[oldest]
+                oldest.cancel()
+                await asyncio.wait([oldest])
+            sock.setblocking(False)
+            task = asyncio.create_task(self._serve(sock))
+            self._callers[task] = None
+            task.add_done_callback(lambda done: self._callers.pop(done, None))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        """One caller, from its connecting to the close."""
+        peer = None
+        try:
+            async with asyncio.timeout(self._limits.call_in / 1000.0):
+                peer = await admit(sock, self._limits)
+                if (heard := await self._hear(peer)) is not None:
+                    await self._answer(peer, *heard)
+                # Closed over bytes that lie unread, a reset would overtake the answer.
+                read = 0
+                while (data := await peer.more()) and read < self._limits.soak:
+                    read += len(data)
+        except (OSError, h11.ProtocolError):  # too slow, or gone
+            pass
+        except Exception as problem:
+            self._log.say("caller_failed", problem=repr(problem))
+        finally:
+            if peer is not None:
+                peer.close()
+            else:
+                sock.close()
+
+    async def _hear(self, peer: Peer) -> tuple[Verdict, bool] | None:
+        """One whole call's verdict, and whether no body is wanted; none where the caller ends without one."""
+        head, size = None, 0
+        try:
+            while not isinstance(event := await peer.event(), h11.EndOfMessage):
+                if isinstance(event, h11.ConnectionClosed):
+                    return None
+                if isinstance(event, h11.Request):
+                    head = event
+                    if peer.state.they_are_waiting_for_100_continue:
+                        peer.write(h11.InformationalResponse(status_code=100, headers=[]))
+                elif isinstance(event, h11.Data):
+                    size += len(event.data)
+                    if size > self._limits.call_size:
+                        return TOO_LARGE, False
+        except h11.RemoteProtocolError as problem:
+            return (TOO_LARGE if problem.error_status_hint == 431 else UNREADABLE), False
+        return judge(head.method, head.target, self._known, self._leaving), head.method == b"HEAD"
+
+    async def _answer(self, peer: Peer, verdict: Verdict, bare: bool) -> None:
+        if verdict.rule is not None:  # in force before the yes is on its way
+            self._desk.put_first(Rule(*verdict.rule, self._clock.now()))
+        body = verdict.text.encode() + b"\n"
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", b"%d" % len(body)),
+            (b"connection", b"close"),
+        ]
+        reason = HTTPStatus(verdict.status).phrase.encode()
+        answer = h11.Response(status_code=verdict.status, headers=headers, reason=reason)
+        peer.write(answer, *(() if bare else (h11.Data(data=body),)), h11.EndOfMessage())
+        with suppress(OSError):
+            await peer.writer.drain()
+            peer.writer.write_eof()
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -14,6 +14,7 @@
 from sableford.intake.door import Door, Sheet
 from sableford.logic import Scheduler
 from sableford.model import (
+    Banned,
     CallOff,
     Decline,
     Ended,
@@ -45,6 +46,7 @@
     Clock,
     Fail,
     Gone,
+    Known,
     Look,
     Looked,
     Mailbox,
@@ -53,6 +55,7 @@
     Refuse,
     Renew,
     Request,
+    Rule,
     Settle,
     Stale,
     Told,
@@ -66,13 +69,14 @@
     def __init__(
         self, charter: Charter, seed: str, roster: Mailbox, clock: Clock, limits: Limits, log: Log
     ) -> None:
-        self.mail = Mailbox()
+        self.mail, self.console = Mailbox(), Mailbox()
         self._charter, self._seed, self._starts = charter, seed, 0
         self._roster, self._clock, self._limits, self._log = roster, clock, limits, log
         self._workers: dict[str, Worker] = {}
         self._tasks: set[asyncio.Task] = set()
         self._latest: dict[str, tuple] = {}  # the list as it stands, for a module that starts anew
         self._places: dict[str, Place] = {}
+        self._rules: dict[str, Rule] = {}  # the last word by hand on each worker
         self._heard = {
             Request: self._took,
             Gone: self._gone,
@@ -81,6 +85,7 @@
             Back: self._back,
             Looked: self._looked,
             Told: self._told,
+            Rule: self._rule,
             Renew: self._renew,
             Stale: self._pass_on,
             _Died: self._mourn,
@@ -170,6 +175,8 @@
                 raise
             self._begin()
             self._now = self._clock.now()
+            for rule in self._rules.values():  # before the list, lest a worker that is out seem ready
+                self._tell(Banned(self._door.index(rule.worker), rule.out, rule.at))
             self._tell(self._door.roster(Sheet(list(self._latest.values())), True))
 
     def _reverse_all(self) -> None:
@@ -234,13 +241,11 @@
             self._latest.pop(worker, None)
             if standing:
                 self._latest[worker] = (worker, zone, kind, cell, standing, sheet.ratings[worker], since)
-            place = Place(message.addresses[worker], since, Standing(standing) is Standing.READY)
-            if (standing or worker in self._workers) and self._places.get(worker) != place:
-                self._places[worker] = place
-                self._worker(worker).mail.put(place)
+            if standing or worker in self._workers:
+                self._settle(worker, Place(message.addresses[worker], since, True))
         for worker in known.keys() - self._latest.keys() - sheet.facts.keys():
-            self._places[worker] = place = self._places[worker]._replace(ready=False)
-            self._worker(worker).mail.put(place)
+            self._settle(worker, self._places[worker])
+        self.console.put(Known(frozenset(self._places.keys() | self._rules.keys())))
         if known.keys() != self._latest.keys():
             self._allot()
         for worker in known.keys() | self._latest.keys():
@@ -250,6 +255,27 @@
                 self._log.say("worker", worker=worker, standing=standing, since=since)
         self._tell(self._door.roster(sheet, message.complete))
 
+    def _settle(self, worker: str, place: Place) -> None:
+        """Where the worker listens, by the list, and whether it may be sent anything, by list and by hand."""
+        line, rule = self._latest.get(worker), self._rules.get(worker)
+        ready = line is not None and Standing(line[4]) is Standing.READY and not (rule and rule.out)
+        # Its process was started anew: a kept line leads to one that is no more.
+        since = max(place.since, rule.at / 1000.0) if rule and not rule.out else place.since
+        place = place._replace(since=since, ready=ready)
+        if self._places.get(worker) != place:
+            self._places[worker] = place
+            self._worker(worker).mail.put(place)
+
+    def _rule(self, rule: Rule) -> None:
+        before = self._rules.get(rule.worker)
+        if rule.out == (before is not None and before.out):
+            return  # two calls out need one back, and back without out changes nothing
+        self._log.say("by_hand", worker=rule.worker, out=rule.out)
+        self._rules[rule.worker] = rule
+        if (place := self._places.get(rule.worker)) is not None:
+            self._settle(rule.worker, place)
+        self._tell(Banned(self._door.index(rule.worker), rule.out, rule.at))
+
     def _allot(self) -> None:
         lines = max(1, self._limits.lines // max(1, len(self._latest)))
         for worker in self._latest:
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 OWN = 16  # descriptors: the listener, discovery, the loop's own, the log; some nine are used
+CALLERS = 8  # at the console: staff and their tools, and some that connect and say nothing
 CLOSING_PART = 32  # one in so many is kept for what is just closing
 CLIENT_PART = 0.55  # of the rest: txns may take a third of all on either side, silent clients what is over
 PROCESS = 24  # MB of the process itself, with every connection at what it may hold unasked
@@ -36,6 +37,9 @@
     count: float = 1000.0  # between two lines of the log on requests turned away
     late: float = 100.0  # a wake-up later than this goes to the log: the core is not ours enough
     idle: float = 120_000.0  # a client's connection between requests
+    call_in: float = 2000.0  # for a caller at the console from connecting to the end of its call
+    call_size: int = 4096  # of a call's body, which says nothing
+    callers: int = CALLERS
     linger: float = 1000.0  # reading on after an answer that cut a request short, lest a reset overtake it
     tail: float = 1000.0  # for a worker to end its stream after the last line
     brief: float = 50.0  # a line that rested less is never mistrusted: a reset then has another cause
@@ -53,7 +57,7 @@
     last_word: float = 3300.0  # and what comes on them is answered by then: the kill comes after 3,700
 
 
-def granted(sockets: int, memory_mb: float, idle: float, connect: float) -> Limits:
+def granted(sockets: int, memory_mb: float, idle: float, connect: float, console: bool = False) -> Limits:
     """Divide the descriptors and the memory: most of the idle time of a worker is used, and none of its end.
 
     A reserve of one size left clients eleven of 90, and each of their connections was closed for another.
@@ -63,7 +67,8 @@
     >>> granted(256, 32, 5000.0, 250.0).bodies, granted(256, 16, 5000.0, 250.0).bodies
     (4194304, 1048576)
     """
-    free = max(16, sockets - OWN - sockets // CLOSING_PART)
+    door = (CALLERS + 1) * console  # its listener too
+    free = max(16, sockets - OWN - door - sockets // CLOSING_PART)
     clients = int(free * CLIENT_PART)
     bodies = int(max(1.0, (memory_mb - PROCESS) * BODY_PART) * 1_048_576)
     return Limits(clients=clients, lines=free - clients, keep=0.6 * idle, connect=connect, bodies=bodies)
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -37,6 +37,11 @@
         self._waiting.append(message)
         self._ring()
 
+    def put_first(self, message: object) -> None:
+        """Before all that waits: for what can't wait for its turn behind txns."""
+        self._waiting.appendleft(message)
+        self._ring()
+
     def empty(self) -> bool:
         return not self._waiting
 
@@ -127,6 +132,14 @@
     addresses: dict[str, tuple[str, int]]
 
 
+class Rule(NamedTuple):
+    """An operator took a worker out at that time, or called it back. From the console."""
+
+    worker: str
+    out: bool
+    at: float
+
+
 class Unheard(NamedTuple):
     """The watch failed, or discovery fell silent."""
 
@@ -141,6 +154,15 @@
     discovery: tuple[str, int]
 
 
+# To the console
+
+
+class Known(NamedTuple):
+    """Every worker that has been listed or is out by hand."""
+
+    workers: frozenset[str]
+
+
 # To a client
 
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -7,6 +7,7 @@
 
     0 roster A; B since=-100 zone=1; W1-W9 draining   lines of the list
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
+    7 ban A | back A                                  operators take it out by hand, call it back
     9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
     effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A | follow | ask (once)
 
@@ -19,9 +20,10 @@
     say t1 started|running|done TEXT|failed|returned|lost|STATUS HEADER|text LINE|end|cut
     dead A                            resets each kept line as it is used again
     list A phase=leaving | list whole A | list old A | agent mute|speak|drop
+    call c POST /workers/A/maint | whisper c BYTES     to the console, which `terms door=1` opens
     raw c BYTES | hangup c | sigterm | reload [torn] KEY=VALUE | fail | files 1 | wait 20
     told: at A t1 LINE BODY | closed A t1 | answer t1 200 BODY | closed c | watch 3 | whole | log EVENT
-    ends 0 | probe A | copy t1 (two at once at workers)
+    called c 200 TEXT | hushed c (no answer) | ends 0 | probe A | copy t1 (two at once at workers)
 """
 
 import asyncio
@@ -42,6 +44,7 @@
 from sableford.logic import Scheduler
 from sableford.model import (
     Account,
+    Banned,
     CallOff,
     Decline,
     Duties,
@@ -187,6 +190,8 @@
             load = tuple(map(float, rest[2:]))
             for name in rest[0].split(","):
                 yield Ended(*self.posting(name), ending, ending is Ending.SETTLED, load)
+        elif verb in ("ban", "back"):
+            yield Banned(self.index("worker", rest[0]), verb == "ban", now)
         elif verb == "unfollow":
             yield Unfollowed()
         elif verb == "lapse":
@@ -284,7 +289,7 @@
     def __init__(self) -> None:
         self.told: list[str] = []
         self.terms = options(
-            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2 ask=0".split()
+            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2 ask=0 door=0".split()
         )
         self.schemes: list[dict] = []
         self.limits: dict[str, float] = {}
@@ -300,7 +305,8 @@
         self.waiting: dict[str, list[str]] = {}  # by client: the txns sent on it
         self.fillers: list[socket.socket] = []
         self.running: asyncio.Task | None = None
-        self.place, self.berth, self.agents = "", {}, []
+        self.place, self.door, self.berth, self.agents = "", "", {}, []
+        self.callers: dict[str, asyncio.StreamWriter] = {}
         self.folder = tempfile.TemporaryDirectory()
         self.file = Path(self.folder.name, "berth.json")
         self.taken: list[int] = []
@@ -318,9 +324,10 @@
 
     async def open(self) -> None:
         place = await self.agent()
-        with socket.socket() as free:
+        with socket.socket() as free, socket.socket() as other:
             free.bind(("127.0.7.2", 0))
-            self.place = f"127.0.7.2:{free.getsockname()[1]}"
+            other.bind(("127.0.7.4", 0))
+            self.place, self.door = ("{}:{}".format(*one.getsockname()) for one in (free, other))
         told = self.terms
         settings = {
             "instances": 1,
@@ -359,6 +366,8 @@
             "known": self.listing(self.listed, True),
             "settings": settings,
         }
+        if told["door"]:
+            self.berth["console"] = self.door
         self.file.write_text(json.dumps(self.berth))
         read = read_berth(str(self.file))
         read = read._replace(limits=read.limits._replace(**self.limits))
@@ -524,6 +533,29 @@
         self.waiting[name] += [txn] if txn else []
         self.clients[name].write(data)
 
+    async def do_call(self, name: str, method: str, path: str) -> None:
+        await self.do_whisper(name, f"{method} {path} HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n")
+
+    async def do_whisper(self, names: str, *rest: str) -> None:
+        """Bytes to the console, on a connection of the caller's own."""
+        for name in spread(names):
+            if name not in self.callers:
+                host, _, port = self.door.rpartition(":")
+                reader, self.callers[name] = await asyncio.open_connection(host, int(port))
+                self.keep = asyncio.create_task(self.caller(name, reader))
+            text = " ".join(rest).replace("*70000", "9" * 70_000).encode().decode("unicode_escape")
+            self.callers[name].write(text.encode("latin-1"))
+
+    async def caller(self, name: str, reader: asyncio.StreamReader) -> None:
+        try:
+            said = await reader.read()
+        except ConnectionError:
+            said = b""
+        head, _, body = said.partition(b"\r\n\r\n")
+        status = head.split()[1].decode() if head else ""
+        self.told.append(f"called {name} {status} {body.decode()}" if head else f"hushed {name}")
+        self.callers.pop(name).close()
+
     async def do_dead(self, name: str) -> None:
         self.dead.add(name)
 
