--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -215,6 +215,7 @@
         self.needs = sorted({scheme.kind for scheme in terms.schemes})
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
         self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
+        self.ours, self.turns_from = True, 0.0  # the turns at cold workers, and since when
         self.born, self.follow_at, self.refused = -1.0, 0.0, 0
         self.limits: list[tuple[float, int]] = []
         self.misfit, self.misfit_at, self.lag = [0.0] * len(LAGS), 0.0, LAGS[2]
@@ -232,13 +233,14 @@
             events.Sampled: self._sampled,
             Roster: self._roster,
             Banned: self._banned,
+            events.Turns: self._turns_pass,
             events.Unfollowed: self._unfollowed,
         }
 
     def handle(self, now: float, event: Event) -> list[Effect]:
         self.effects = []
         if self.born < 0.0:
-            self.born = now
+            self.born = self.turns_from = now
             if self.terms.follows and not self.terms.ask_within:
                 self.effects.append(Follow(once=False))
         self.handlers[type(event)](now, event)
@@ -600,6 +602,8 @@
                 return False
         if not self._is_cold(worker.since, now):
             return True
+        if not self.ours:
+            return False
         return self._turn(worker.index, worker.kind, worker.since, now, worker.turn) >= 0
 
     def _sound(self, worker: Worker, txn: Txn) -> bool:
@@ -640,12 +644,17 @@
         # scheduler after the other. Rounded down in every span by itself, two thirds of it stood idle.
         schedulers, span = self.terms.schedulers, self.terms.duties.push_span
         # What a scheduler killed just now sent is not known here: its turns from before have passed.
-        least = max(taken + 1, self._earned(kind, max(now - span, self.born) - since))
+        least = max(taken + 1, self._earned(kind, max(now - span, self.turns_from) - since))
         # Called back by hand it is cold from a time of each scheduler's own: the order hangs on the list.
         order = crc32(b"%d" % self.roster[index].since)
         turn = least + (self.terms.position - order - least) % schedulers
         return turn if turn < self._earned(kind, now - since) else -1
 
+    def _turns_pass(self, now: float, event: events.Turns) -> None:
+        """Two processes of one scheduler share one place in the order: one takes its turns, never both."""
+        self.ours, self.turns_from = event.ours, now
+        self._pump(now)
+
     def _turns(self, now: float) -> list[Worker]:
         """Cold workers at which this scheduler may have a turn now; looked for a few times in a span."""
         if now - self.turns_at >= self.terms.duties.push_span / 4.0:
--- a/sableford/model/__init__.py
+++ b/sableford/model/__init__.py
@@ -14,6 +14,7 @@
     Standing,
     Started,
     Taken,
+    Turns,
     Unfollowed,
     Woken,
 )
@@ -46,6 +47,7 @@
     "Taken",
     "Tariff",
     "Terms",
+    "Turns",
     "Unfollowed",
     "Wake",
     "Woken",
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -111,8 +111,14 @@
     at: float
 
 
+class Turns(NamedTuple):
+    """Whether this process takes its scheduler's turns at cold workers from now on, or another one does."""
+
+    ours: bool
+
+
 class Unfollowed(NamedTuple):
     """The roster's changes were asked for in vain, or stopped coming."""
 
 
-Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster | Banned | Unfollowed
+Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster | Banned | Turns | Unfollowed
--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -14,7 +14,7 @@
 from sableford.net import wire
 from sableford.net.limits import Limits, granted
 from sableford.net.log import Log
-from sableford.net.mail import Mailbox, Renew
+from sableford.net.mail import Mailbox, Renew, Share
 
 
 class Berth(NamedTuple):
@@ -26,12 +26,19 @@
     known: bytes
     charter: Charter
     limits: Limits
+    granted: tuple[int, float]  # sockets and memory, of all processes of this scheduler together
     filed: tuple[tuple[str, int] | None, ...]  # where to listen, discovery and the console by the file alone
 
     def decided(self) -> Charter:
         """The settings without those that are limits: the module has them for life."""
         return self.charter._replace(idle=0.0, connect=0.0)
 
+    def shared(self, processes: int) -> Limits:
+        """What one process has of what is granted to all of them."""
+        sockets, memory = (size / processes for size in self.granted)
+        idle, connect = self.charter.idle, self.charter.connect
+        return granted(int(sockets), memory, idle, connect, self.console is not None)
+
 
 class _Granted(msgspec.Struct):
     sockets: int
@@ -56,15 +63,23 @@
 class Keeper:
     """The file's actor: reads it again when asked, and tells the others what is new in it."""
 
-    def __init__(self, path: str, log: Log) -> None:
+    def __init__(self, path: str, log: Log, processes: int = 1) -> None:
         self.mail = Mailbox()
-        self._path, self._log = path, log
+        self._path, self._log, self._processes = path, log, processes
 
     async def run(self, berth: Berth, others: tuple[Mailbox, ...]) -> None:
         """A file as a whole or not at all. Asked twice at once it reads once."""
-        now, filed = Renew(berth.limits, berth.discovery), berth.filed
+        now, filed, last = Renew(berth.limits, berth.discovery), berth.filed, berth
         while True:
-            await self.mail.take()
+            messages = await self.mail.take()
+            for message in messages:
+                if isinstance(message, Share):
+                    self._processes = message.processes
+                    now = now._replace(limits=last.shared(self._processes))
+                    for mail in others:
+                        mail.put(now)
+            if not any(isinstance(message, Reread) for message in messages):
+                continue
             try:
                 read = read_berth(self._path)
             except ValueError as problem:
@@ -72,7 +87,7 @@
                 continue
             # By the file alone: the variables name what was true at start.
             moved = read.filed[1] != filed[1]
-            told = Renew(read.limits, read.filed[1] if moved else now.discovery)
+            told = Renew(read.shared(self._processes), read.filed[1] if moved else now.discovery)
             fixed = [
                 field
                 for field, differs in (
@@ -87,7 +102,7 @@
             if told != now:
                 for mail in others:
                     mail.put(told)
-            now, filed = told, read.filed
+            now, filed, last = told, read.filed, read
 
 
 def read_berth(path: str) -> Berth:
@@ -114,7 +129,7 @@
             except ValueError as problem:
                 raise ValueError(f"{path}: {field}: {problem}") from problem
     listen, discovery, console = places
-    size = text.limits
-    limits = granted(size.sockets, size.memory_mb, charter.idle, charter.connect, console is not None)
+    size = text.limits.sockets, text.limits.memory_mb
+    limits = granted(*size, charter.idle, charter.connect, console is not None)
     known = bytes(text.known)
-    return Berth(text.name, listen, discovery, console, text.seed, known, charter, limits, tuple(filed))
+    return Berth(text.name, listen, discovery, console, text.seed, known, charter, limits, size, tuple(filed))
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -16,8 +16,9 @@
 from sableford.net.clients import Gate
 from sableford.net.console import Console
 from sableford.net.desk import Desk
+from sableford.net.handover import Handover
 from sableford.net.log import Log
-from sableford.net.mail import Clock, Leave
+from sableford.net.mail import Clock, Leave, Turn
 from sableford.net.roster import Roster, first_list
 
 BAD_START, FAILED = 2, 70
@@ -29,6 +30,8 @@
     listener = socket.socket(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if berth.console is not None and field == "listen":  # the next version comes up beside this one
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         # What a connection may hold unread is bounded there too, and handed down to each.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, berth.limits.chunk)
         listener.bind(place)
@@ -42,24 +45,31 @@
 
 async def run(berth: Berth, path: str, log: Log) -> int:
     """Start every actor, and end when the gate has."""
-    loop, charter, limits = asyncio.get_running_loop(), berth.charter, berth.limits
+    loop, charter = asyncio.get_running_loop(), berth.charter
     loop.set_exception_handler(
         lambda loop, told: log.say("unhandled", **{k: repr(v) for k, v in told.items()})
     )
-    listener, clock = listening("listen", berth.listen, berth), Clock(loop)
+    clock = Clock(loop)
+    place = "{}:{}".format(*berth.listen) if berth.console is not None else None
+    handover = Handover(berth.name, place, clock, berth.limits, log)
+    rules, processes, _ = handover.begin()
+    berth = berth._replace(limits=berth.shared(processes) if processes > 1 else berth.limits)
+    limits = berth.limits
+    listener = listening("listen", berth.listen, berth)
     first, revision = first_list(berth.known, charter, log)
     roster = Roster(berth.discovery, revision, limits, charter, log)
     desk = Desk(charter, berth.seed, roster.mail, clock, limits, log)
     gate = Gate(listener, desk.mail, clock, limits, charter, log)
-    keeper = Keeper(path, log)
-    desk.mail.put(first)  # lies there before any txn can
-    console = Console(desk.console, desk.mail, clock, limits, log)
+    keeper = Keeper(path, log, processes)
+    for told in (*rules, Turn(handover.holds()), first):  # lie there before any txn can
+        desk.mail.put(told)
+    console = Console(desk.console, handover.mail, clock, limits, log)
     if berth.console is not None:
         console.open(listening("console", berth.console, berth))
 
     def leave() -> None:
         console.mail.put_first(Leave())
-        gate.mail.put(Leave())
+        handover.mail.put_first(Leave())  # which tells the gate whether another process serves
 
     for stop in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop, leave)
@@ -69,6 +79,7 @@
         loop.create_task(roster.run(desk.mail), name="roster"): roster,
         loop.create_task(gate.run(), name="gate"): gate,
         loop.create_task(console.run(), name="console"): console,
+        loop.create_task(handover.run(desk.mail, gate.mail, keeper.mail), name="handover"): handover,
         loop.create_task(keeper.run(berth, (roster.mail, desk.mail, gate.mail)), name="keeper"): keeper,
     }
     log.say("serving", listen=berth.listen, console=berth.console, clients=limits.clients, lines=limits.lines)
@@ -80,6 +91,7 @@
             await asyncio.sleep(limits.last / 1000.0)
             return FAILED
     log.say("left")
+    handover.close()
     return 0
 
 
--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -20,6 +20,7 @@
 from sableford.net.limits import Limits
 from sableford.net.log import Log
 from sableford.net.mail import (
+    Beside,
     Clash,
     Clock,
     Cut,
@@ -53,6 +54,7 @@
         self.mail = Mailbox()
         self._gate, self._desk, self._clock, self._limits = gate.mail, gate.desk, gate.clock, gate.limits
         self._charter, self._log, self._left_at = gate.charter, gate.log, left_at
+        self._beside = gate.beside
         self._peer: Peer | None = None
         self._head: h11.Request | None = None
         self._fault: Malformed | None = None  # of a request whose framing is sound: it is read past
@@ -174,7 +176,7 @@
             else:
                 self._reject(507, "no room for the body")
         elif isinstance(message, Leave):
-            self._left_at = message.at
+            self._left_at, self._beside = message.at, message.beside
         elif isinstance(message, Shut):
             self._asked = True
         elif isinstance(message, Cut) and self._taken is None:
@@ -341,7 +343,9 @@
     def _respond(self, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...]) -> None:
         """Write one whole answer, and be ready for the next request."""
         peer, more = self._peer, list(headers)
-        leaving = self._left_at and self._clock.now() >= self._left_at + self._limits.stay
+        # With another process serving, the client's next connection comes up there at once.
+        stay = 0.0 if self._beside else self._limits.stay
+        leaving = self._left_at and self._clock.now() >= self._left_at + stay
         if leaving or self._lingering or self._asked:
             more.append((b"connection", b"close"))
         more.append((b"content-length", b"%d" % len(body)))
@@ -399,7 +403,7 @@
         self._told_at = 0.0
         self._space = asyncio.Event()
         self._space.set()
-        self._left_at, self._open = 0.0, True
+        self._left_at, self._open, self.beside = 0.0, True, False
 
     async def run(self) -> None:
         """Until asked to leave and the last client has its answer."""
@@ -409,16 +413,20 @@
                 self._hear(message)
             self._make_room()
             self._tell_turned()
-            if self._open and self._past(self.limits.leave):
+            if self._open and self._past(0.0 if self.beside else self.limits.leave):
                 acceptor.cancel()
                 await asyncio.wait([acceptor])
                 self._close()
-            if self._past(self.limits.stay):
+            if self._past(self._stay()):
                 for group in (self._silent, self._idlers, self._resting):
                     for client in group:
                         client.mail.put(Shut())
                     group.clear()
 
+    def _stay(self) -> float:
+        """How long open connections are served on: alone till the other schedulers are back."""
+        return self.limits.yields if self.beside else self.limits.stay
+
     def _past(self, span: float) -> bool:
         """Whether it was asked to leave that long ago."""
         return self._left_at > 0.0 and self.clock.now() >= self._left_at + span
@@ -427,8 +435,8 @@
         now, due = self.clock.now(), []
         if self._left_at and self._open:
             due.append(max(self.limits.hurry / 4.0, self._left_at + self.limits.leave - now))
-        elif self._left_at and not self._past(self.limits.stay):
-            due.append(self._left_at + self.limits.stay - now)
+        elif self._left_at and not self._past(self._stay()):
+            due.append(self._left_at + self._stay() - now)
         if not self._space.is_set():
             due.append(self.limits.hurry / 4.0)
         if self._turned:
@@ -466,11 +474,17 @@
                 self._turned[f"{status} {why}"] += 1
             case Renew(limits, _):
                 self.limits = limits
-            case Leave() if not self._left_at:
-                self.log.say("leaving", connections=len(self._clients))
-                self._left_at = now
-                for client in self._clients:
-                    client.mail.put(Leave(now))
+            case Beside(serves):
+                self.beside = serves
+                self._tell_leave()
+            case Leave(_, beside) if not self._left_at:
+                self.log.say("leaving", connections=len(self._clients), beside=beside)
+                self._left_at, self.beside = now, beside
+                self._tell_leave()
+
+    def _tell_leave(self) -> None:
+        for client in self._clients if self._left_at else ():
+            client.mail.put(Leave(self._left_at, self.beside))
 
     def _move(self, client: Client, to: dict[Client, float] | None) -> None:
         for group in (self._silent, self._reading, self._idlers, self._resting, self._lingering):
--- a/sableford/net/console.py
+++ b/sableford/net/console.py
@@ -1,7 +1,7 @@
 """The operators' door: calls on a second address, each answered at once with one line of text.
 
-It owns its listener and its callers. It must never wait for another actor before it answers, nor decide what
-a call changes: that is the desk's and the module's.
+It owns its listener and its callers. It must never wait for the desk before it answers, nor decide what
+a call changes: that is the module's.
 """
 
 import asyncio
@@ -16,7 +16,7 @@
 from sableford.net.http import Peer, admit
 from sableford.net.limits import Limits
 from sableford.net.log import Log
-from sableford.net.mail import Clock, Known, Leave, Mailbox, Rule
+from sableford.net.mail import Clock, Known, Leave, Mailbox, Rule, Ruling
 
 GET, POST = (b"GET", b"HEAD"), (b"POST",)
 HEALTH, WORKERS = "healthcheck", "workers"
@@ -60,9 +60,9 @@
 class Console:
     """Accepts callers; with too many the one that has been there longest without an answer goes."""
 
-    def __init__(self, mail: Mailbox, desk: Mailbox, clock: Clock, limits: Limits, log: Log) -> None:
+    def __init__(self, mail: Mailbox, handover: Mailbox, clock: Clock, limits: Limits, log: Log) -> None:
         self.mail = mail
-        self._desk, self._clock, self._limits, self._log = desk, clock, limits, log
+        self._handover, self._clock, self._limits, self._log = handover, clock, limits, log
         self._listener: socket.socket | None = None
         self._known: frozenset[str] = frozenset()
         self._leaving = False
@@ -150,8 +150,10 @@
         return judge(head.method, head.target, self._known, self._leaving), head.method == b"HEAD"
 
     async def _answer(self, peer: Peer, verdict: Verdict, bare: bool) -> None:
-        if verdict.rule is not None:  # in force before the yes is on its way
-            self._desk.put_first(Rule(*verdict.rule, self._clock.now()))
+        if verdict.rule is not None:  # written before the yes: a kill right after it ends no ban
+            reply = Mailbox()
+            self._handover.put_first(Ruling(Rule(*verdict.rule, self._clock.now()), reply))
+            await reply.take(self._limits.written)
         body = verdict.text.encode() + b"\n"
         headers = [
             (b"content-type", b"text/plain; charset=utf-8"),
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -31,6 +31,7 @@
     Standing,
     Started,
     Taken,
+    Turns,
     Unfollowed,
     Wake,
     Woken,
@@ -59,6 +60,7 @@
     Settle,
     Stale,
     Told,
+    Turn,
     Unheard,
     Withdraw,
 )
@@ -77,6 +79,7 @@
         self._latest: dict[str, tuple] = {}  # the list as it stands, for a module that starts anew
         self._places: dict[str, Place] = {}
         self._rules: dict[str, Rule] = {}  # the last word by hand on each worker
+        self._ours = True  # the turns at cold workers
         self._heard = {
             Request: self._took,
             Gone: self._gone,
@@ -86,6 +89,7 @@
             Looked: self._looked,
             Told: self._told,
             Rule: self._rule,
+            Turn: self._turn,
             Renew: self._renew,
             Stale: self._pass_on,
             _Died: self._mourn,
@@ -175,6 +179,7 @@
                 raise
             self._begin()
             self._now = self._clock.now()
+            self._tell(Turns(self._ours))
             for rule in self._rules.values():  # before the list, lest a worker that is out seem ready
                 self._tell(Banned(self._door.index(rule.worker), rule.out, rule.at))
             self._tell(self._door.roster(Sheet(list(self._latest.values())), True))
@@ -267,15 +272,15 @@
             self._worker(worker).mail.put(place)
 
     def _rule(self, rule: Rule) -> None:
-        before = self._rules.get(rule.worker)
-        if rule.out == (before is not None and before.out):
-            return  # two calls out need one back, and back without out changes nothing
-        self._log.say("by_hand", worker=rule.worker, out=rule.out)
         self._rules[rule.worker] = rule
         if (place := self._places.get(rule.worker)) is not None:
             self._settle(rule.worker, place)
         self._tell(Banned(self._door.index(rule.worker), rule.out, rule.at))
 
+    def _turn(self, message: Turn) -> None:
+        self._ours = message.ours
+        self._tell(Turns(message.ours))
+
     def _allot(self) -> None:
         lines = max(1, self._limits.lines // max(1, len(self._latest)))
         for worker in self._latest:
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -37,6 +37,12 @@
     count: float = 1000.0  # between two lines of the log on requests turned away
     late: float = 100.0  # a wake-up later than this goes to the log: the core is not ours enough
     idle: float = 120_000.0  # a client's connection between requests
+    glance: float = 50.0  # between looks at the files of another process that lives: well within a grace
+    lookout: float = 250.0  # and alone, for one that comes
+    beat: float = 1000.0  # between signs of life, which date the word of a dead process
+    remembered: float = 10_000.0  # a dead process's word counts for so long after its last sign
+    written: float = 300.0  # a caller waits so long for its call to be written; the yes follows all the same
+    yields: float = 1000.0  # after SIGTERM with another process serving, resting connections go
     call_in: float = 2000.0  # for a caller at the console from connecting to the end of its call
     call_size: int = 4096  # of a call's body, which says nothing
     callers: int = CALLERS
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -140,6 +140,12 @@
     at: float
 
 
+class Turn(NamedTuple):
+    """Whether the turns at cold workers are this process's. From the handover."""
+
+    ours: bool
+
+
 class Unheard(NamedTuple):
     """The watch failed, or discovery fell silent."""
 
@@ -154,6 +160,33 @@
     discovery: tuple[str, int]
 
 
+# To the handover
+
+
+class Ruling(NamedTuple):
+    """A call by hand; it comes back to `reply` once it is written."""
+
+    rule: Rule
+    reply: Mailbox
+
+
+class Kept(NamedTuple):
+    """The list as it is known: its version, by which discovery, and its lines as they came."""
+
+    revision: int | None
+    discovery: str
+    members: tuple[bytes, ...]
+
+
+# To the keeper
+
+
+class Share(NamedTuple):
+    """So many processes of this scheduler live, and divide what is granted."""
+
+    processes: int
+
+
 # To the console
 
 
@@ -191,9 +224,17 @@
 
 
 class Leave(NamedTuple):
-    """The scheduler was asked to end at that time. To the gate: end."""
+    """The scheduler was asked to end at that time, with another process of it serving `beside` or not. To the
+    gate: end."""
 
     at: float = 0.0
+    beside: bool = False
+
+
+class Beside(NamedTuple):
+    """To the gate: whether another process of this scheduler serves."""
+
+    serves: bool
 
 
 class Shut(NamedTuple):
