--- a/sableford/net/handover.py
+++ b/sableford/net/handover.py
@@ -31,7 +31,7 @@
         self._folder: Path | None = None
         self._lock = -1
         self._born = clock.now()
-        self._token = f"{self._born:.0f}-{os.getpid()}"
+        self._token = f"{self._born:.0f}-{os.urandom(4).hex()}"
         self._rules: dict[str, Rule] = {}
         self._read: dict[str, tuple[tuple, Word | None]] = {}  # by token: which file, and what it said
         self._others: list[Other] = []
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -8,6 +8,7 @@
     0 roster A; B since=-100 zone=1; W1-W9 draining   lines of the list
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
     7 ban A | back A                                  operators take it out by hand, call it back
+    8 yield | resume                                  another process takes the cold turns, or this one again
     9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
     effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A | follow | ask (once)
 
@@ -67,6 +68,7 @@
     Taken,
     Tariff,
     Terms,
+    Turns,
     Unfollowed,
     Wake,
     Woken,
@@ -192,6 +194,8 @@
                 yield Ended(*self.posting(name), ending, ending is Ending.SETTLED, load)
         elif verb in ("ban", "back"):
             yield Banned(self.index("worker", rest[0]), verb == "ban", now)
+        elif verb in ("yield", "resume"):
+            yield Turns(verb == "resume")
         elif verb == "unfollow":
             yield Unfollowed()
         elif verb == "lapse":
--- /dev/null
+++ b/tests/upgrade.py
@@ -0,0 +1,290 @@
+"""Plain asserts on several real processes of one scheduler, one after the other and side by side, under load.
+
+Workers count for themselves what they ran, and clients what they were answered. Loopback only; a few seconds.
+"""
+
+import asyncio
+import io
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter
+from contextlib import suppress
+from pathlib import Path
+
+from sableford.net.handover import Handover
+from sableford.net.limits import granted
+from sableford.net.log import Log
+from sableford.net.mail import Clock
+from tests.adapter import PROFILE
+from tests.helper import field, heard
+
+GRACE = 0.5  # s: after a yes to a call out
+
+
+def port(host: str) -> str:
+    with socket.socket() as free:
+        free.bind((host, 0))
+        return "{}:{}".format(*free.getsockname())
+
+
+def to_the_end(stub):
+    """A stub that is cut off as the scene ends has nothing to say about it."""
+
+    async def run(*given) -> None:
+        with suppress(asyncio.CancelledError):
+            await stub(*given)
+
+    return run
+
+
+class Town:
+    """Workers, discovery and clients around the scheduler under test."""
+
+    def __init__(self, folder: str) -> None:
+        self.folder = Path(folder)
+        self.file = self.folder / "berth.json"
+        self.place = port("127.0.8.2")
+        self.members: list[dict] = []
+        self.berth: dict = {}
+        self.runs: Counter[str] = Counter()
+        self.seen: dict[str, list[float]] = {}
+        self.answers: dict[str, list[int]] = {}
+        self.unheard = self.lost = 0
+        self.going = True
+        self.processes: list[asyncio.subprocess.Process] = []
+
+    async def begin(self, workers: str) -> None:
+        for name in workers:
+            self.seen[name] = []
+            server = await asyncio.start_server(
+                lambda r, w, name=name: self.worker(name, r, w), "127.0.8.3", 0
+            )
+            self.members.append(
+                {"id": name, "host_port": "{}:{}".format(*server.sockets[0].getsockname())}
+                | {"locality": "here", "flavor": "box", "phase": "active"}
+                | {"cell": 0, "size": 1.0, "up_since_ms": 0}
+            )
+        agent = await asyncio.start_server(self.discovery, "127.0.8.1", 0)
+        scheme = {"name": "commit", "effect": "unsafe", "sla_time_s": 2.0, "expiry_s": 4.0}
+        self.berth = {
+            "name": "n0",
+            "listen": self.place,
+            "discovery": "{}:{}".format(*agent.sockets[0].getsockname()),
+            "console": port("127.0.8.4"),
+            "seed": "5eed",
+            "limits": {"sockets": 200, "memory_mb": 96},
+            "known": {"revision": 1, "complete": True, "members": self.members},
+            "settings": PROFILE | {"schemes": [scheme], "zones": ["here"], "skus": ["box"]},
+        }
+        self.berth["settings"] |= {"obligations": PROFILE["obligations"] | {"start_capacity": 0.9}}
+        self.file.write_text(json.dumps(self.berth))
+
+    @to_the_end
+    async def discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await heard(reader):
+            whole = b"after=" not in head
+            if not whole:
+                await asyncio.sleep(1.0)
+            told = {"revision": 1, "complete": whole, "members": self.members if whole else []}
+            body = json.dumps(told).encode()
+            with suppress(OSError):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        writer.close()
+
+    @to_the_end
+    async def worker(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await heard(reader):
+            if head.startswith(b"GET"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                continue
+            txn = field(head, b"x-correlation-id")
+            await reader.readexactly(int(field(head, b"content-length")))
+            self.runs[txn] += 1
+            self.seen[name].append(time.monotonic())
+            await asyncio.sleep(0.02)
+            line = (
+                json.dumps(
+                    {"id": txn, "state": "done", "result": name, "load": {"queue": 0, "x0": 8}}
+                ).encode()
+                + b"\n"
+            )
+            with suppress(OSError):
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(line), line))
+        writer.close()
+
+    async def client(self, name: str) -> None:
+        """One txn after the other on a kept connection; a closed one that said nothing costs one more try."""
+        line, number = None, 0
+        host, _, where = self.place.rpartition(":")
+        while self.going:
+            number += 1
+            txn = f"{name}-{number}"
+            head = f"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {txn}\r\nX-Service-Class: commit\r\n"
+            head += "X-Time-Left: 3000m\r\nContent-Length: 2\r\n\r\nhi"
+            answers = self.answers[txn] = []
+            for _ in range(2):
+                try:
+                    line = line or await asyncio.open_connection(host, int(where))
+                    line[1].write(head.encode())
+                    said = await heard(line[0])
+                except OSError:
+                    said = b""
+                if said:
+                    break
+                self.unheard += 1
+                line = None
+                if self.runs[txn]:  # it was taken, and its answer never came
+                    self.lost += 1
+                    break
+            if said:
+                answers.append(int(said.split()[1]))
+                await line[0].readexactly(int(field(said, b"content-length")))
+                if b"connection: close" in said.lower():
+                    line[1].close()
+                    line = None
+            await asyncio.sleep(0.01)
+
+    # The scheduler's processes
+
+    async def start(self, wait: bool = True, **changed: object) -> tuple[asyncio.subprocess.Process, str]:
+        """One more process with a second address of its own; its yes is waited for."""
+        door = port("127.0.8.4")
+        path = self.file
+        if changed:
+            path = self.folder / f"other-{len(self.processes)}.json"
+            path.write_text(json.dumps({k: v for k, v in (self.berth | changed).items() if v is not None}))
+        env = os.environ | {"TMPDIR": str(self.folder), "BALANCER_CONSOLE": door}
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "sableford", "serve", "--config", str(path)),
+            env=env,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self.processes.append(process)
+        async with asyncio.timeout(6.0):
+            while wait and await self.call(door, "GET /healthcheck") != 200:
+                assert process.returncode is None, process.returncode
+                await asyncio.sleep(0.02)
+        return process, door
+
+    async def call(self, door: str, what: str) -> int:
+        host, _, where = door.rpartition(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(where))
+            writer.write(f"{what} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            said = await reader.read()
+            writer.close()
+        except OSError:
+            return 0
+        return int(said.split()[1]) if said else 0
+
+    async def term(self, process: asyncio.subprocess.Process) -> None:
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(5.0):
+            assert await process.wait() == 0, process.returncode
+
+    async def end(self) -> None:
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    def sent(self, worker: str, since: float) -> int:
+        return sum(at > since for at in self.seen[worker])
+
+
+def played(scene) -> None:
+    async def play() -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            town = Town(folder)
+            try:
+                await town.begin("ABC")
+                await scene(town)
+            finally:
+                await town.end()
+
+    asyncio.run(play())
+
+
+async def loaded(town: Town) -> list[asyncio.Task]:
+    return [asyncio.create_task(town.client(f"c{number}")) for number in range(4)]
+
+
+async def settled(town: Town, clients: list[asyncio.Task], lost: int = 0) -> None:
+    town.going = False
+    await asyncio.gather(*clients)
+    assert len(town.answers) > 100 and town.lost <= lost, (len(town.answers), town.lost)
+    bad = {txn: answers for txn, answers in town.answers.items() if answers != [200]}
+    assert len(bad) <= lost, bad
+    assert max(town.runs.values()) == 1, [txn for txn, runs in town.runs.items() if runs > 1]
+
+
+def shows_upgrades_in_a_row_under_load_lose_nothing_and_keep_a_worker_out() -> None:
+    async def scene(town: Town) -> None:
+        old, door = await town.start()
+        clients = await loaded(town)
+        await asyncio.sleep(0.3)
+        assert town.sent("A", 0.0) and await town.call(door, "POST /workers/A/maint") == 200
+        out_at = time.monotonic() + GRACE
+        for _ in range(2):
+            new, door = await town.start()
+            await town.term(old)
+            old = new
+        # Called at the one, it holds at the other.
+        new, other = await town.start()
+        assert await town.call(other, "POST /workers/B/maint") == 200
+        b_out_at = time.monotonic() + GRACE
+        await asyncio.sleep(GRACE + 0.2)
+        assert not town.sent("A", out_at) and not town.sent("B", b_out_at)
+        assert await town.call(door, "POST /workers/A/ready") == 200
+        back_at = time.monotonic()
+        await town.term(old)
+        while not town.sent("A", back_at) and time.monotonic() < back_at + 5.0:
+            await asyncio.sleep(0.05)
+        assert town.sent("A", back_at) and not town.sent("B", b_out_at)
+        assert town.unheard <= 6, town.unheard  # two an upgrade
+        await settled(town, clients)
+        await town.term(new)
+
+    played(scene)
+
+
+def shows_an_upgrade_that_fails_leaves_the_old_process_serving() -> None:
+    async def scene(town: Town) -> None:
+        old, door = await town.start()
+        clients = await loaded(town)
+        bad, _ = await town.start(wait=False, seed=None)
+        assert await bad.wait() == 2 and b"seed" in await bad.stderr.read()
+        # One that hangs before its yes: it lives, and says nothing more.
+        tempfile.tempdir = str(town.folder)
+        try:
+            clock, limits = Clock(asyncio.get_running_loop()), granted(200, 96, 5000.0, 250.0)
+            hung = Handover("n0", town.place, clock, limits, Log("n0", sink=io.BytesIO()))
+        finally:
+            tempfile.tempdir = None
+        hung.begin()
+        await asyncio.sleep(0.3)
+        assert await town.call(door, "POST /workers/A/maint") == 200
+        out_at = time.monotonic() + GRACE
+        # One that dies after its yes.
+        dead, _ = await town.start()
+        dead.kill()
+        await dead.wait()
+        assert await town.call(door, "GET /healthcheck") == 200
+        # A kill in the middle in place of SIGTERM: the ban is the other's too.
+        new, _ = await town.start()
+        await asyncio.sleep(0.2)
+        old.kill()
+        await old.wait()
+        await asyncio.sleep(GRACE + 0.3)
+        assert not town.sent("A", out_at)
+        await settled(town, clients, lost=16)  # what the killed had taken
+        await town.term(new)
+
+    played(scene)
