Take changed settings on SIGHUP as a whole; first txn to a worker called back

Change: intake lays new settings onto the old ones, names keep their places; a txn holds its scheme and postings; Amended to the module; the keeper refuses what is not positive and finite, a name twice, or a key that the file in force has. Second: a worker called back takes the first txn that its turn allows. Cause, found by the test with real processes: beside an all but idle worker its copy, which is none, kept it out of the local bound for good. Ruled out: changed terms meeting open txns by index (sockets scenario with a scheme dropped in front of one with open txns).

--- a/sableford/intake/charter.py
+++ b/sableford/intake/charter.py
@@ -3,6 +3,7 @@
 One copy serves both hosts. It never keeps the text, and nothing in it says how anything is sent.
 """
 
+from math import isfinite
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -14,7 +15,8 @@
 
 
 class Charter(NamedTuple):
-    """What is read at start. Names stand in the order of their indices; times are milliseconds."""
+    """What is read of the settings. Names stand in the order of their indices, those that went too; times are
+    milliseconds."""
 
     terms: Terms
     schemes: tuple[str, ...]
@@ -23,6 +25,7 @@
     figures: tuple[str, ...]
     idle: float
     connect: float
+    taken: frozenset[str] = frozenset()  # the schemes that clients may name
 
 
 class _Scheme(msgspec.Struct):
@@ -37,7 +40,7 @@
 
 
 class _Limits(msgspec.Struct):
-    most_postings: int
+    most_postings: Annotated[int, msgspec.Meta(ge=1)]
     may_cancel: bool = False
     probes: bool = False
     retry_after: bool = False
@@ -104,6 +107,11 @@
 def _scheme(at: int, given: _Scheme, facts: _Specifics) -> Scheme:
     if given.effect not in _REPEATS:
         raise ValueError(f"schemes[{at}].effect: unknown word {given.effect!r}")
+    for field in ("sla_time_s", "expiry_s"):
+        if not 0.0 < getattr(given, field) < float("inf"):
+            raise ValueError(f"schemes[{at}].{field}: not a positive number")
+    if not isfinite(given.earnings) or not isfinite(given.memory_span_s):
+        raise ValueError(f"schemes[{at}]: not a finite number")
     stretch = given.aim_stretch if given.aim_stretch is not None else _nth(facts.class_stretch, at, 0.0)
     return Scheme(
         repeats=_REPEATS[given.effect],
@@ -123,6 +131,11 @@
         profile = _decoder.decode(text)
     except msgspec.MsgspecError as error:
         raise ValueError(f"settings: {error}") from error
+    names = [given.name for given in profile.schemes if given.name]
+    if not profile.schemes:
+        raise ValueError("settings: schemes: none")
+    if len(set(names)) < len(names):
+        raise ValueError(f"settings: schemes: a name twice: {max(names, key=names.count)!r}")
     columns = profile.load_info.columns if profile.load_info.via != "off" else []
     facts, limits, owed = profile.specifics, profile.limits, profile.obligations
     places = {name: at for at, name in enumerate(columns)}
@@ -162,4 +175,37 @@
         figures=tuple(columns),
         idle=limits.conn_idle_s * 1000.0,
         connect=limits.connect_timeout_s * 1000.0,
+        taken=frozenset(names),
     )
+
+
+def _onto(now: tuple[str, ...], new: tuple[str, ...]) -> tuple[str, ...]:
+    """
+    >>> _onto(("a", "b"), ("c", "b"))
+    ('a', 'b', 'c')
+    """
+    return now + tuple(name for name in new if name not in now)
+
+
+def amended(now: Charter, new: Charter) -> Charter:
+    """The new settings with every scheme, zone and kind at the place it has had; dropped ones stay there.
+
+    How the list is had is fixed for a process's life.
+    """
+    schemes, zones, kinds = (_onto(now[at], new[at]) for at in (1, 2, 3))
+
+    def scheme(at: int, name: str) -> Scheme:
+        if name not in new.schemes:
+            return now.terms.schemes[at]
+        given = new.terms.schemes[new.schemes.index(name)]
+        known = 0 <= given.kind < len(new.kinds)
+        return given._replace(kind=kinds.index(new.kinds[given.kind])) if known else given
+
+    zone = new.terms.zone
+    terms = new.terms._replace(
+        schemes=tuple(scheme(at, name) for at, name in enumerate(schemes)),
+        zone=zones.index(new.zones[zone]) if zone < len(new.zones) else zone,
+        follows=now.terms.follows,
+        ask_within=now.terms.ask_within,
+    )
+    return new._replace(terms=terms, schemes=schemes, zones=zones, kinds=kinds)
--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -75,6 +75,9 @@
 TOKENS = 2.0  # txns a tenant may save up beside one second of its allowance: whole txns come unevenly
 LAST_CALL = 150.0  # ms before expiry: nothing is posted or held past this; over one patrol, so none slips by
 
+# By hand
+AWAITED = 10_000.0  # ms after a call back: operators look for the first txn there within some seconds
+
 # The cold rule
 COLD_MARGIN = 0.45  # of the push factor: a turn may be taken a span late, so twice as many can meet in one
 
@@ -102,6 +105,7 @@
         self.ready, self.since, self.drawn = line.standing is Standing.READY, line.since, False
         self.postings: dict[tuple[int, int], Posting] = {}
         self.own = self.shown = 0.0
+        self.sent_at = 0.0  # the last posting
         self.past: deque[tuple[float, float]] = deque()
         self.running = [0] * len(kind.runs)
         self.forget()
@@ -178,10 +182,15 @@
 
 
 class Txn:
-    __slots__ = ("avoid", "hopeless", "limit", "moved", "origin", "out", "over", "posted", "state", "taken")
+    __slots__ = (
+        *("avoid", "hopeless", "limit", "moved", "origin", "out", "over", "posted", "postings", "scheme"),
+        *("state", "taken"),
+    )
 
-    def __init__(self, taken: Taken, limit: float, over: bool) -> None:
+    def __init__(self, taken: Taken, terms: Terms, limit: float, over: bool) -> None:
         self.taken, self.limit, self.over = taken, limit, over
+        # The terms it came under: read by its index later, a changed file made it another scheme's.
+        self.scheme, self.postings = terms.schemes[taken.scheme], terms.tariff.postings
         self.hopeless, self.moved = taken.expiry, False
         self.state, self.posted = State.HELD, 0
         self.out: dict[int, Posting] = {}
@@ -193,8 +202,6 @@
     def __init__(self, terms: Terms, seed: int) -> None:
         self.terms, self.seed, self.draws = terms, seed, 0
         self.effects: list[Effect] = []
-        # Where no figure counts the waiting line, own postings in it hid the others' running ones.
-        self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
         self.txns: dict[int, Txn] = {}
         self.listed: dict[int, Listed] = {}  # what holds: the roster under the bans
         self.roster: dict[int, Listed] = {}  # its own lines
@@ -212,7 +219,6 @@
         self.turn, self.scouted, self.drift, self.mean_run = -1, 0.0, 1.0, 1.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
-        self.needs = sorted({scheme.kind for scheme in terms.schemes})
         self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
         self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
         self.ours, self.turns_from = True, 0.0  # the turns at cold workers, and since when
@@ -222,6 +228,7 @@
         # A part below one txn a second found the first txn of each scheduler beyond the share.
         self.tokens = [TOKENS + account.allowance / terms.schedulers for account in terms.accounts]
         self.token_at = [0.0] * len(terms.accounts)
+        self._read_terms()
         self.wake_at, self.moves, self.landed, self.moves_at = 0.0, 0.0, 0.0, 0.0
         self.handlers = {
             Taken: self._taken,
@@ -234,9 +241,38 @@
             Roster: self._roster,
             Banned: self._banned,
             events.Turns: self._turns_pass,
+            events.Amended: self._amended,
             events.Unfollowed: self._unfollowed,
         }
 
+    def _read_terms(self) -> None:
+        terms = self.terms
+        # Where no figure counts the waiting line, own postings in it hid the others' running ones.
+        self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
+        self.needs = sorted({scheme.kind for scheme in terms.schemes})
+
+    def _amended(self, now: float, event: events.Amended) -> None:
+        """Other terms: what was learned stays where it is, what is new starts from nothing."""
+        before, self.terms = self.terms, event.terms
+        self._read_terms()
+        for at, scheme in enumerate(event.terms.schemes):
+            if at < len(self.runs):
+                self.runs[at].prior = scheme.expiry * RUN_PRIOR
+                continue
+            self.runs.append(Run(scheme))  # each kind reads the same list
+            for over, lanes in enumerate(self.lanes):
+                lanes.append(Lane(at, bool(over), self.runs[at]))
+        for worker in self.workers.values():
+            worker.running += [0] * (len(self.runs) - len(worker.running))
+        part = event.terms.schedulers, event.terms.position
+        if part != (before.schedulers, before.position):  # turns by the old order may have been taken
+            self.turns_from = now
+        if event.terms.accounts != before.accounts:
+            self.tokens = [TOKENS + one.allowance / event.terms.schedulers for one in event.terms.accounts]
+            self.token_at = [now] * len(self.tokens)
+        self._sort(now)
+        self._pump(now)
+
     def handle(self, now: float, event: Event) -> list[Effect]:
         self.effects = []
         if self.born < 0.0:
@@ -275,7 +311,7 @@
 
     def _answer(self, now: float, index: int, txn: Txn) -> None:
         """Given up: the answer goes out at once."""
-        scheme = self.terms.schemes[txn.taken.scheme]
+        scheme = txn.scheme
         _, harmless = PERMITS[scheme.repeats, txn.origin is not None]
         if harmless or (scheme.repeats is Repeats.REFERENCED and scheme.scope is Scope.ALL):
             pause = min(self.terms.tariff.pause, self._wait_ahead(now, self._lane(txn)))
@@ -285,8 +321,8 @@
 
     def _again(self, now: float, index: int, txn: Txn) -> Input | None:
         """A posting came back without an answer: hold it for another, or give it up."""
-        where, _ = PERMITS[self.terms.schemes[txn.taken.scheme].repeats, txn.origin is not None]
-        if where is Again.NOWHERE or now >= txn.limit or txn.posted >= self.terms.tariff.postings:
+        where, _ = PERMITS[txn.scheme.repeats, txn.origin is not None]
+        if where is Again.NOWHERE or now >= txn.limit or txn.posted >= txn.postings:
             return Input.LATE
         self._hold(index, txn, first=True)
         return None
@@ -311,7 +347,7 @@
         typical = TYPICAL * self.runs[event.scheme].mean()
         patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
         limit = min(now + patience, event.expiry - LAST_CALL)
-        txn = self.txns[event.txn] = Txn(event, limit, self._beyond_share(now, event.account))
+        txn = self.txns[event.txn] = Txn(event, self.terms, limit, self._beyond_share(now, event.account))
         # Of others the clients come back at once, and where a call-off drops nothing each ran several times.
         if self.terms.tells_start and scheme.repeats is Repeats.ONCE_ONLY:
             txn.hopeless = now + scheme.sla + max(0.0, scheme.stretch - 1.0) * HOPE * typical / TYPICAL
@@ -383,7 +419,7 @@
         worker, need = self.chosen, self._need(txn)
         posting = Posting(worker, txn.taken.scheme, need, now)
         worker.postings[index, txn.posted] = txn.out[txn.posted] = posting
-        self.active[worker.index] = worker
+        self.active[worker.index], worker.sent_at = worker, now
         self.unstarted, self.out = self.unstarted + 1, self.out + need
         if txn.moved:
             self._count_moves(now, 1.0, 0.0)
@@ -470,6 +506,9 @@
         indices = indices or reserve
         if not indices:
             return self._scout(now, full)
+        # Beside idle workers the copy that is none kept one called back by hand out of the local bound.
+        if awaited := next((worker for _, worker in indices if self._awaited(worker, now)), None):
+            return awaited
         lowest = min(index for index, _ in indices)
         if self.turn < 0:
             self.turn = self._chance(len(indices))
@@ -483,6 +522,11 @@
         least = [worker for index, worker in indices if index - lowest < 1e-9]
         return least[self._chance(len(least))]
 
+    def _awaited(self, worker: Worker, now: float) -> bool:
+        """Called back by hand a moment ago and not used since."""
+        ban = self.bans.get(worker.index)
+        return ban is not None and not ban.out and worker.sent_at < ban.at and now - ban.at < AWAITED
+
     def _scout(self, now: float, full: list[tuple[float, Worker]]) -> Worker | None:
         """One txn now and then to the least of the full copies that aged, where all workers are drawn."""
         # Else a crowd seen once was taken for one that stays. Some hundred scouts a second were a storm.
@@ -567,7 +611,7 @@
 
     def _widen(self, now: float, txn: Txn, size: float) -> Worker | None:
         """With no room in the draw, a stranger that should have some takes the txn and one place."""
-        kind = self.terms.schemes[txn.taken.scheme].kind
+        kind = txn.scheme.kind
         for worker in islice(self._strangers(self.open, kind), WIDEN):
             if worker.waits or worker.pace < SLOW or not self._sound(worker, txn):
                 continue
@@ -590,7 +634,7 @@
 
     def _allowed(self, worker: Worker, now: float, txn: Txn) -> bool:
         """What the rules and the wire forbid, whatever else is at hand."""
-        scheme = self.terms.schemes[txn.taken.scheme]
+        scheme = txn.scheme
         if not worker.ready or now < worker.rest_until or scheme.kind not in (-1, worker.kind.index):
             return False
         if txn.origin is not None and scheme.repeats is Repeats.REFERENCED:
@@ -610,7 +654,7 @@
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
         if worker is txn.avoid or not (worker.still or self._suspect(worker)):
             return worker is not txn.avoid
-        again = self.terms.schemes[txn.taken.scheme].repeats is not Repeats.ONCE_ONLY
+        again = txn.scheme.repeats is not Repeats.ONCE_ONLY
         return again and txn.posted == 0 and all(posting.mute for posting in worker.postings.values())
 
     def _suspect(self, worker: Worker) -> bool:
@@ -860,11 +904,11 @@
         vain = self.landed + MOVE_WEIGHT < LANDING * (self.moves + MOVE_WEIGHT)
         for (index, _), posting in list(worker.postings.items()):
             txn = self.txns[index]
-            scheme = self.terms.schemes[txn.taken.scheme]
+            scheme = txn.scheme
             # What stands in the line of one taken out by hand is lost at its restart, moves in vain or not.
             stuck = worker.index in self.bans and self.bans[worker.index].out
             idle = posting.mute if posting.started else stuck or (not vain and posting.waited(now))
-            left = self.terms.tariff.postings - (not posting.started) - txn.posted
+            left = txn.postings - (not posting.started) - txn.posted
             free = txn.state is State.OUT and not posting.called_off and left > 0 and now < txn.limit
             if not (idle and free) or scheme.repeats is Repeats.ONCE_ONLY:
                 continue
--- a/sableford/model/__init__.py
+++ b/sableford/model/__init__.py
@@ -2,6 +2,7 @@
 
 from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
 from sableford.model.events import (
+    Amended,
     Banned,
     Ended,
     Ending,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "Account",
+    "Amended",
     "Banned",
     "CallOff",
     "Decline",
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -4,6 +4,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from sableford.model.terms import Terms
+
 
 class Ending(IntEnum):
     """How a posting finished."""
@@ -111,6 +113,12 @@
     at: float
 
 
+class Amended(NamedTuple):
+    """Other terms from now on; each scheme that there was has its place still. What is open keeps its own."""
+
+    terms: Terms
+
+
 class Turns(NamedTuple):
     """Whether this process takes its scheduler's turns at cold workers from now on, or another one does."""
 
@@ -121,4 +129,17 @@
     """The roster's changes were asked for in vain, or stopped coming."""
 
 
-Event = Taken | Started | Progressed | Ended | Lapsed | Woken | Sampled | Roster | Banned | Turns | Unfollowed
+Event = (
+    Taken
+    | Started
+    | Progressed
+    | Ended
+    | Lapsed
+    | Woken
+    | Sampled
+    | Roster
+    | Banned
+    | Turns
+    | Amended
+    | Unfollowed
+)
--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -5,12 +5,13 @@
 """
 
 import os
+from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
 
-from sableford.intake.charter import Charter, read_charter
+from sableford.intake.charter import Charter, amended, read_charter
 from sableford.net import wire
 from sableford.net.limits import Limits, granted
 from sableford.net.log import Log
@@ -28,10 +29,7 @@
     limits: Limits
     granted: tuple[int, float]  # sockets and memory, of all processes of this scheduler together
     filed: tuple[tuple[str, int] | None, ...]  # where to listen, discovery and the console by the file alone
-
-    def decided(self) -> Charter:
-        """The settings without those that are limits: the module has them for life."""
-        return self.charter._replace(idle=0.0, connect=0.0)
+    keys: frozenset[str]  # every key of the file, by its path
 
     def shared(self, processes: int) -> Limits:
         """What one process has of what is granted to all of them."""
@@ -69,7 +67,7 @@
 
     async def run(self, berth: Berth, others: tuple[Mailbox, ...]) -> None:
         """A file as a whole or not at all. Asked twice at once it reads once."""
-        now, filed, last = Renew(berth.limits, berth.discovery), berth.filed, berth
+        now, last = Renew(berth.limits, berth.discovery, berth.charter), berth
         while True:
             messages = await self.mail.take()
             for message in messages:
@@ -82,33 +80,40 @@
                 continue
             try:
                 read = read_berth(self._path)
+                # Cut by an editor or a template a file can be sound, and say less than was meant.
+                if lost := min(last.keys - read.keys, default=""):
+                    raise ValueError(f"{self._path}: {lost}: missing, the file in force has it")
             except ValueError as problem:
                 self._log.say("reload_refused", problem=str(problem))
                 continue
             # By the file alone: the variables name what was true at start.
-            moved = read.filed[1] != filed[1]
-            told = Renew(read.shared(self._processes), read.filed[1] if moved else now.discovery)
+            moved = read.filed[1] != last.filed[1]
+            charter = amended(now.charter, read.charter)
+            told = Renew(read.shared(self._processes), read.filed[1] if moved else now.discovery, charter)
             fixed = [
                 field
                 for field, differs in (
                     ("name", read.name != berth.name),
                     ("listen", read.filed[0] != berth.filed[0]),
                     ("console", read.filed[2] != berth.filed[2]),
-                    ("settings", read.decided() != berth.decided()),
+                    ("registry_mode", read.charter.terms.ask_within != charter.terms.ask_within),
                 )
                 if differs
             ]
-            self._log.say("reloaded", discovery=told.discovery, lines=told.limits.lines, restart_for=fixed)
+            schemes = sorted(charter.taken)
+            facts = {"discovery": told.discovery, "lines": told.limits.lines, "schemes": schemes}
+            self._log.say("reloaded", **facts, settings=charter != now.charter, restart_for=fixed)
             if told != now:
                 for mail in others:
                     mail.put(told)
-            now, filed, last = told, read.filed, read
+            now, last = told, read
 
 
 def read_berth(path: str) -> Berth:
     """Read the file; ValueError names the file and the field."""
     try:
-        text = msgspec.json.decode(Path(path).read_bytes(), type=_Text)
+        whole = Path(path).read_bytes()
+        text = msgspec.json.decode(whole, type=_Text)
     except OSError as problem:
         raise ValueError(f"{path}: {problem.strerror}") from problem
     except msgspec.MsgspecError as problem:
@@ -132,4 +137,23 @@
     size = text.limits.sockets, text.limits.memory_mb
     limits = granted(*size, charter.idle, charter.connect, console is not None)
     known = bytes(text.known)
-    return Berth(text.name, listen, discovery, console, text.seed, known, charter, limits, size, tuple(filed))
+    keys = frozenset(_paths(msgspec.json.decode(whole) | {"known": None}, ""))
+    return Berth(
+        *(text.name, listen, discovery, console, text.seed, known, charter, limits, size),
+        *(tuple(filed), keys),
+    )
+
+
+def _paths(value: object, before: str) -> Iterator[str]:
+    """The path of every key; of a list's entries those that all have.
+
+    >>> sorted(_paths({"a": {"b": 1}, "c": [{"d": 1, "e": 2}, {"d": 3}], "f": []}, ""))
+    ['a', 'a.b', 'c', 'c[].d', 'f']
+    """
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield before + key
+            yield from _paths(inner, f"{before}{key}.")
+    elif isinstance(value, list) and value:
+        each = [set(_paths(inner, f"{before.removesuffix('.')}[].")) for inner in value]
+        yield from set.intersection(*each)
--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -20,6 +20,7 @@
 from sableford.net.limits import Limits
 from sableford.net.log import Log
 from sableford.net.mail import (
+    Amend,
     Beside,
     Clash,
     Clock,
@@ -177,6 +178,8 @@
                 self._reject(507, "no room for the body")
         elif isinstance(message, Leave):
             self._left_at, self._beside = message.at, message.beside
+        elif isinstance(message, Amend):
+            self._charter = message.charter
         elif isinstance(message, Shut):
             self._asked = True
         elif isinstance(message, Cut) and self._taken is None:
@@ -277,7 +280,7 @@
             raise Malformed(405, "method")
         if not wire.sensible_id(told.get(wire.ID, b"")):
             raise Malformed(400, "no sensible id")
-        if told.get(wire.SCHEME, b"").decode("latin-1") not in self._charter.schemes:
+        if told.get(wire.SCHEME, b"").decode("latin-1") not in self._charter.taken:
             raise Malformed(400, "unknown class")
         left = wire.time_left(told.get(wire.TIME_LEFT, b""))
         if left is None or not 0.0 < left <= self._limits.longest:
@@ -472,8 +475,12 @@
                 client.mail.put(Room(granted))
             case Turned(status, why):
                 self._turned[f"{status} {why}"] += 1
-            case Renew(limits, _):
+            case Renew(limits, _, charter):
                 self.limits = limits
+                if charter != self.charter:
+                    self.charter = charter
+                    for client in self._clients:
+                        client.mail.put(Amend(charter))
             case Beside(serves):
                 self.beside = serves
                 self._tell_leave()
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -14,6 +14,7 @@
 from sableford.intake.door import Door, Sheet
 from sableford.logic import Scheduler
 from sableford.model import (
+    Amended,
     Banned,
     CallOff,
     Decline,
@@ -288,6 +289,9 @@
 
     def _renew(self, message: Renew) -> None:
         self._limits = message.limits
+        if message.charter != self._charter:
+            self._charter = message.charter
+            self._tell(Amended(message.charter.terms._replace(follows=True)))
         for worker in self._workers.values():
             worker.mail.put(message)
         self._allot()
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -8,6 +8,7 @@
 from collections import deque
 from typing import NamedTuple
 
+from sableford.intake.charter import Charter
 from sableford.intake.door import Sheet
 from sableford.model import Ending
 from sableford.net.limits import Limits
@@ -154,10 +155,11 @@
 
 
 class Renew(NamedTuple):
-    """The file was read again: the limits from now on, and where discovery is."""
+    """The file was read again: the limits from now on, where discovery is, and the settings."""
 
     limits: Limits
     discovery: tuple[str, int]
+    charter: Charter
 
 
 # To the handover
@@ -237,6 +239,12 @@
     serves: bool
 
 
+class Amend(NamedTuple):
+    """Other settings: for the next request."""
+
+    charter: Charter
+
+
 class Shut(NamedTuple):
     """Close if idle."""
 
--- a/sableford/net/roster.py
+++ b/sableford/net/roster.py
@@ -40,8 +40,8 @@
                 match message:
                     case Follow() if watch is None or watch.done():
                         watch = asyncio.create_task(self._follow(desk))
-                    case Renew(limits, address):
-                        self._limits = limits
+                    case Renew(limits, address, charter):
+                        self._limits, self._charter = limits, charter
                         if address != self._address:
                             if watch is not None:
                                 watch.cancel()
--- a/sableford/net/workers.py
+++ b/sableford/net/workers.py
@@ -115,7 +115,7 @@
         self._allotted = message.lines
 
     def _renew(self, message: Renew) -> None:
-        self._limits = message.limits
+        self._limits, self._charter = message.limits, message.charter
 
     def _keep(self) -> float:
         """How long a line may rest and be used again; less for a while where some proved dead."""
--- a/tests/actors.py
+++ b/tests/actors.py
@@ -18,7 +18,7 @@
     async def scene() -> list:
         near, far = socket.socketpair()
         near.setblocking(False)
-        charter = Charter(None, ("quote",), (), (), (), 5000.0, 250.0)
+        charter = Charter(None, ("quote",), (), (), (), 5000.0, 250.0, frozenset({"quote"}))
         gate = SimpleNamespace(mail=Mailbox(), desk=Mailbox(), clock=Clock(asyncio.get_running_loop()))
         gate.beside = False
         gate.limits, gate.charter, gate.log = granted(100, 64, 5000.0, 250.0), charter, Log("n0")
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -8,6 +8,7 @@
     0 roster A; B since=-100 zone=1; W1-W9 draining   lines of the list
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
     7 ban A | back A                                  operators take it out by hand, call it back
+    8 amend postings=1; quote once-only; fresh repeatable   other terms; schemes changed or added
     8 yield | resume                                  another process takes the cold turns, or this one again
     9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
     effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A | follow | ask (once)
@@ -21,6 +22,7 @@
     say t1 started|running|done TEXT|failed|returned|lost|STATUS HEADER|text LINE|end|cut
     dead A                            resets each kept line as it is used again
     list A phase=leaving | list whole A | list old A | agent mute|speak|drop
+    file settings.schemes.0.expiry_s -5 | file seed drop | file settings.schemes + JSON     before a reload
     call c POST /workers/A/maint | whisper c BYTES     to the console, which `terms door=1` opens
     raw c BYTES | hangup c | sigterm | reload [torn] KEY=VALUE | fail | files 1 | wait 20
     told: at A t1 LINE BODY | closed A t1 | answer t1 200 BODY | closed c | watch 3 | whole | log EVENT
@@ -45,6 +47,7 @@
 from sableford.logic import Scheduler
 from sableford.model import (
     Account,
+    Amended,
     Banned,
     CallOff,
     Decline,
@@ -118,30 +121,30 @@
         self.schemes[name] = Scheme(sort, scope, **facts)
 
     def open(self) -> Scheduler:
+        return Scheduler(self.decided(), seed=7 + int(self.terms.get("position", 0)))
+
+    def decided(self) -> Terms:
         told = options("schedulers=1 allowance=0 probes=0 postings=6 pause=0 factor=2 cold=0.2".split())
         told |= options("warm=10000 span=2000 tells=1 progress=1000 free=1 overage=0.1".split()) | self.terms
-        return Scheduler(
-            Terms(
-                schedulers=int(told["schedulers"]),
-                position=int(told.get("position", 0)),
-                zone=0,
-                schemes=tuple(self.schemes.values()),
-                accounts=(Account(told["allowance"]), Account(0.0)) if told["allowance"] else (),
-                duties=Duties(told["cold"], told["warm"], told["factor"], told["span"]),
-                tariff=Tariff(
-                    int(told["postings"]), True, bool(told["probes"]), told["pause"], told["overage"], 0.0
-                ),
-                tells_start=bool(told["tells"]),
-                progress=told["progress"],
-                live=bool(told.get("live", 0)),
-                follows=bool(told.get("follows", 0)),
-                ask_within=told.get("ask", 0.0),
-                waiting=int(told.get("line", 0)),
-                handled=-1,
-                free_slots=int(told["free"]),
-                free_memory=-1,
+        return Terms(
+            schedulers=int(told["schedulers"]),
+            position=int(told.get("position", 0)),
+            zone=0,
+            schemes=tuple(self.schemes.values()),
+            accounts=(Account(told["allowance"]), Account(0.0)) if told["allowance"] else (),
+            duties=Duties(told["cold"], told["warm"], told["factor"], told["span"]),
+            tariff=Tariff(
+                int(told["postings"]), True, bool(told["probes"]), told["pause"], told["overage"], 0.0
             ),
-            seed=7 + int(told.get("position", 0)),
+            tells_start=bool(told["tells"]),
+            progress=told["progress"],
+            live=bool(told.get("live", 0)),
+            follows=bool(told.get("follows", 0)),
+            ask_within=told.get("ask", 0.0),
+            waiting=int(told.get("line", 0)),
+            handled=-1,
+            free_slots=int(told["free"]),
+            free_memory=-1,
         )
 
     def index(self, sort: str, name: str) -> int:
@@ -194,6 +197,13 @@
                 yield Ended(*self.posting(name), ending, ending is Ending.SETTLED, load)
         elif verb in ("ban", "back"):
             yield Banned(self.index("worker", rest[0]), verb == "ban", now)
+        elif verb == "amend":
+            for words in map(str.split, " ".join(rest).split(";")):
+                if "=" in words[0]:
+                    self.terms |= options(words)
+                else:
+                    self.scheme(*words)
+            yield Amended(self.decided())
         elif verb in ("yield", "resume"):
             yield Turns(verb == "resume")
         elif verb == "unfollow":
@@ -361,6 +371,7 @@
             "zones": ["here", "there"],
             "skus": ["box"],
         }
+        settings = json.loads(json.dumps(settings))
         self.berth = {
             "name": "n0",
             "listen": self.place,
@@ -606,6 +617,19 @@
         self.file.write_text(text[:100] if "torn" in rest else text)
         os.kill(os.getpid(), signal.SIGHUP)
 
+    async def do_file(self, path: str, *rest: str) -> None:
+        """One place of the file is another from the next reload on: JSON, `+ JSON` at its end, `drop`."""
+        *steps, last = (int(step) if step.isdigit() else step for step in path.split("."))
+        holder = self.berth
+        for step in steps:
+            holder = holder[step]
+        if rest[0] == "+":
+            holder[last].append(json.loads(" ".join(rest[1:])))
+        elif rest[0] == "drop":
+            del holder[last]
+        else:
+            holder[last] = json.loads(" ".join(rest))
+
     async def do_fail(self) -> None:
         """The module fails at its next event."""
         real = Scheduler.handle
