Leave to the next process what the module learned, and the list

Change: sableford/legacy.py writes the module's sums by name and puts them into a new one; the desk tells the handover once a second; the list too. Ruled out: turned back connections (none in eight upgrades), late calls (none).

--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -19,7 +19,7 @@
 from sableford.net.handover import Handover
 from sableford.net.log import Log
 from sableford.net.mail import Clock, Leave, Turn
-from sableford.net.roster import Roster, first_list
+from sableford.net.roster import Roster, first_list, inherited
 
 BAD_START, FAILED = 2, 70
 
@@ -52,14 +52,18 @@
     clock = Clock(loop)
     place = "{}:{}".format(*berth.listen) if berth.console is not None else None
     handover = Handover(berth.name, place, clock, berth.limits, log)
-    rules, processes, _ = handover.begin()
+    rules, processes, kept = handover.begin()
     berth = berth._replace(limits=berth.shared(processes) if processes > 1 else berth.limits)
     limits = berth.limits
     listener = listening("listen", berth.listen, berth)
     first, revision = first_list(berth.known, charter, log)
+    if kept is not None and (later := inherited(kept.listing, charter, log)) is not None:
+        first, revision = later, None
     roster = Roster(berth.discovery, revision, limits, charter, log)
     desk = Desk(charter, berth.seed, roster.mail, clock, limits, log)
     gate = Gate(listener, desk.mail, clock, limits, charter, log)
+    if handover.on():
+        desk.inherit(handover.mail, kept.legacy if kept is not None else None)
     keeper = Keeper(path, log, processes)
     for told in (*rules, Turn(handover.holds()), first):  # lie there before any txn can
         desk.mail.put(told)
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -10,8 +10,10 @@
 from typing import NamedTuple
 from zlib import crc32
 
+from sableford import legacy
 from sableford.intake.charter import Charter
 from sableford.intake.door import Door, Sheet
+from sableford.legacy import Legacy
 from sableford.logic import Scheduler
 from sableford.model import (
     Amended,
@@ -37,6 +39,7 @@
     Wake,
     Woken,
 )
+from sableford.net import wire
 from sableford.net.limits import Limits
 from sableford.net.log import Log
 from sableford.net.mail import (
@@ -48,6 +51,7 @@
     Clock,
     Fail,
     Gone,
+    Kept,
     Known,
     Look,
     Looked,
@@ -81,6 +85,9 @@
         self._places: dict[str, Place] = {}
         self._rules: dict[str, Rule] = {}  # the last word by hand on each worker
         self._ours = True  # the turns at cold workers
+        self._heir: Mailbox | None = None  # the handover, where there is one
+        self._legacy: Legacy | None = None  # of the process before, until the first list
+        self._left_at = 0.0  # when the own was told last
         self._heard = {
             Request: self._took,
             Gone: self._gone,
@@ -108,6 +115,16 @@
         self._now = self._traced = clock.now()
         self._begin()
 
+    def inherit(self, heir: Mailbox, legacy: Legacy | None) -> None:
+        """Before it runs: whom to tell what was learned, and what the process before had."""
+        self._heir, self._legacy = heir, legacy
+
+    def _leave(self) -> None:
+        """Told now and then, so that a kill costs the next process a second of it at most."""
+        self._left_at = self._now
+        listing = wire.listed(self._latest.values(), self._places, self._charter)
+        self._heir.put(Kept(listing, legacy.left_by(self._core, self._door.worker_ids, self._charter)))
+
     def _begin(self) -> None:
         """A module that knows nothing yet."""
         seed = crc32(b"%s:%d" % (self._seed.encode(), self._starts))
@@ -135,6 +152,8 @@
                 due = True
             if due:
                 self._tell(Woken())
+            if self._heir is not None and self._latest and self._now >= self._left_at + self._limits.beat:
+                self._leave()
             if self._log.each_txn and self._now >= self._traced + self._limits.count:
                 self._traced = self._now
                 self._trace()
@@ -260,6 +279,9 @@
                 standing, since = (after[4], after[6]) if after else (0, 0.0)
                 self._log.say("worker", worker=worker, standing=standing, since=since)
         self._tell(self._door.roster(sheet, message.complete))
+        if self._legacy is not None:
+            legacy.teach(self._core, self._legacy, self._door.worker, self._charter, self._now)
+            self._legacy = None
 
     def _settle(self, worker: str, place: Place) -> None:
         """Where the worker listens, by the list, and whether it may be sent anything, by list and by hand."""
--- a/sableford/net/handover.py
+++ b/sableford/net/handover.py
@@ -36,7 +36,7 @@
         self._read: dict[str, tuple[tuple, Word | None]] = {}  # by token: which file, and what it said
         self._others: list[Other] = []
         self._stage, self._holds, self._beside, self._share = Stage.STARTING, False, False, 1
-        self._kept = Kept(None, "", ())
+        self._kept: Kept | None = None
         self._beat_at = 0.0
         if place is not None:
             try:
@@ -64,11 +64,10 @@
         """The own word, whole or not at all."""
         if self._folder is None:
             return
-        revision, discovery, members = self._kept
         rules = pact.kept(self._rules, self._clock.now())
-        word = Word(
-            pact.FORMAT, self._born, self._stage, self._holds, rules, revision, list(members), discovery
-        )
+        word = Word(pact.FORMAT, self._born, self._stage, self._holds, rules)
+        if self._kept is not None:
+            word.listing, word.legacy = msgspec.Raw(self._kept.listing), self._kept.legacy
         try:
             unnamed = self._folder / f"{self._token}.part"
             unnamed.write_bytes(msgspec.json.encode(word))
@@ -133,8 +132,8 @@
 
     # What follows
 
-    def begin(self) -> tuple[list[Rule], int, Kept]:
-        """Before anything is served: the calls in force, how many processes share, the list another knows."""
+    def begin(self) -> tuple[list[Rule], int, Kept | None]:
+        """Before anything is served: the calls in force, how many processes share, what another knows."""
         self._others, left = self._look()
         now = self._clock.now()
         words = [word for word in (*(other.word for other in self._others), *left) if word is not None]
@@ -143,14 +142,13 @@
                 self._rules[rule.worker] = rule
         # Alone it waits for nobody; what the dead one took is from before.
         self._holds, self._share = not self._others, 1 + len(self._others)
-        self._write()
         known = max(words, key=lambda word: word.born, default=None)
-        kept = (
-            Kept(None, "", ())
-            if known is None
-            else Kept(known.revision, known.discovery, tuple(known.members))
-        )
-        return list(self._rules.values()), self._share, kept
+        self._kept = Kept(bytes(known.listing), known.legacy) if known is not None else None
+        self._write()
+        return list(self._rules.values()), self._share, self._kept
+
+    def on(self) -> bool:
+        return self._folder is not None
 
     def holds(self) -> bool:
         return self._holds
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -10,6 +10,7 @@
 
 from sableford.intake.charter import Charter
 from sableford.intake.door import Sheet
+from sableford.legacy import Legacy
 from sableford.model import Ending
 from sableford.net.limits import Limits
 
@@ -173,11 +174,10 @@
 
 
 class Kept(NamedTuple):
-    """The list as it is known: its version, by which discovery, and its lines as they came."""
+    """What the desk knows, for the next process: the list in its words, and what the module learned."""
 
-    revision: int | None
-    discovery: str
-    members: tuple[bytes, ...]
+    listing: bytes
+    legacy: Legacy
 
 
 # To the keeper
--- a/sableford/net/pact.py
+++ b/sableford/net/pact.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sableford.legacy import Legacy
 from sableford.net.mail import Rule
 
 FORMAT = 1  # of a word; another one's is not read
@@ -30,9 +31,8 @@
     stage: int
     holds: bool  # the turns at cold workers
     rules: dict[str, tuple[bool, float]] = {}
-    revision: int | None = None
-    members: list[msgspec.Raw] = []
-    discovery: str = ""
+    listing: msgspec.Raw = msgspec.Raw(b"null")
+    legacy: Legacy = msgspec.field(default_factory=Legacy)
 
 
 class Other(NamedTuple):
--- a/sableford/net/roster.py
+++ b/sableford/net/roster.py
@@ -128,6 +128,16 @@
         return bytes(body)
 
 
+def inherited(text: bytes, charter: Charter, log: Log) -> Told | None:
+    """The list that the process before left; none where it makes no sense or is empty."""
+    try:
+        listing = wire.listing(text, charter)
+    except msgspec.MsgspecError as problem:
+        log.say("senseless_line", why=f"the list left by another process: {problem}")
+        return None
+    return Told(listing.sheet, True, listing.addresses) if listing.addresses else None
+
+
 def first_list(text: bytes, charter: Charter, log: Log) -> tuple[Told, int | None]:
     """The list as this scheduler last had it; it may be old, so its version is kept only where each answer
     costs a service that all share, and the whole list three times what has changed."""
--- a/sableford/net/wire.py
+++ b/sableford/net/wire.py
@@ -199,6 +199,25 @@
     return host.strip("[]"), int(port)
 
 
+def listed(lines: Iterable[tuple], places: dict, charter: Charter) -> bytes:
+    """A list in discovery's words, of lines as a sheet has them and where each worker listens."""
+    phases = {standing: phase for phase, standing in STANDINGS.items()}
+    members = [
+        {
+            "id": worker,
+            "host_port": "{}:{}".format(*places[worker].address),
+            "locality": charter.zones[zone],
+            "flavor": charter.kinds[kind],
+            "phase": phases[standing],
+            "cell": cell,
+            "size": rating,
+            "up_since_ms": since * 1000.0,
+        }
+        for worker, zone, kind, cell, standing, rating, since in lines
+    ]
+    return msgspec.json.encode({"revision": 0, "complete": True, "members": members})
+
+
 def listing(text: bytes, charter: Charter) -> Listing:
     """A list as discovery words it; a senseless line is passed over, the rest counts."""
     given = _listing(text)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -10,7 +10,7 @@
 
 import sableford
 import tests
-from tests import actors, adapter, command, crowd, fleet, handover, upgrade
+from tests import actors, adapter, command, crowd, fleet, handover, legacy, upgrade
 from tests.helper import play, play_sockets, scenarios
 
 
@@ -30,7 +30,7 @@
                 module = importlib.import_module(found.name)
                 if ">>>" in Path(module.__file__).read_text():
                     yield f"examples of {found.name}", lambda module=module: doctested(module)
-    for module in (actors, adapter, command, crowd, fleet, handover, upgrade):
+    for module in (actors, adapter, command, crowd, fleet, handover, legacy, upgrade):
         for name, check in list(vars(module).items()):
             if name.startswith("shows_"):
                 yield f"{module.__name__}: {name[6:].replace('_', ' ')}", check
--- a/tests/upgrade.py
+++ b/tests/upgrade.py
@@ -160,12 +160,14 @@
             path = self.folder / f"other-{len(self.processes)}.json"
             path.write_text(json.dumps({k: v for k, v in (self.berth | changed).items() if v is not None}))
         env = os.environ | {"TMPDIR": str(self.folder), "BALANCER_CONSOLE": door}
+        log = (self.folder / f"{len(self.processes)}.log").open("wb")
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-m", "sableford", "serve", "--config", str(path)),
             env=env,
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=log,
             stderr=asyncio.subprocess.PIPE,
         )
+        log.close()
         self.processes.append(process)
         async with asyncio.timeout(6.0):
             while wait and await self.call(door, "GET /healthcheck") != 200:
@@ -195,6 +197,12 @@
                 process.kill()
                 await process.wait()
 
+    def told(self) -> str:
+        """What the processes said of it."""
+        logs = "".join(path.read_text() for path in sorted(self.folder.glob("*.log")))
+        last = {name: round(max(seen, default=0.0) - time.monotonic(), 2) for name, seen in self.seen.items()}
+        return f"{last}\n{logs}"
+
     def sent(self, worker: str, since: float) -> int:
         return sum(at > since for at in self.seen[worker])
 
@@ -241,13 +249,13 @@
         assert await town.call(other, "POST /workers/B/maint") == 200
         b_out_at = time.monotonic() + GRACE
         await asyncio.sleep(GRACE + 0.2)
-        assert not town.sent("A", out_at) and not town.sent("B", b_out_at)
+        assert not town.sent("A", out_at) and not town.sent("B", b_out_at), town.told()
         assert await town.call(door, "POST /workers/A/ready") == 200
         back_at = time.monotonic()
         await town.term(old)
         while not town.sent("A", back_at) and time.monotonic() < back_at + 5.0:
             await asyncio.sleep(0.05)
-        assert town.sent("A", back_at) and not town.sent("B", b_out_at)
+        assert town.sent("A", back_at) and not town.sent("B", b_out_at), town.told()
         assert town.unheard <= 6, town.unheard  # two an upgrade
         await settled(town, clients)
         await town.term(new)
