Send cold workers by count in any span where the own part is two txns or more

Change: with an own part of two mean txns or more in a span, sends of the last span are counted; 0.68 of the rule at most in any span, worst case 0.9 before.

--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -79,6 +79,8 @@
 AWAITED = 10_000.0  # ms after a call back: operators look for the first txn there within some seconds
 
 # The cold rule
+STEADY = 1.5  # of a span's turns: what may be sent in any span by count, where no turn comes late
+WHOLE = 2.0  # txns of its own in a span: a scheduler with fewer takes turns, rounded it would send none
 COLD_MARGIN = 0.45  # of the push factor: a turn may be taken a span late, so twice as many can meet in one
 
 
@@ -120,6 +122,7 @@
         self.waits = self.still = False
         self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
         self.turn, self.debt = -1, 0.0
+        self.sends: deque[tuple[float, float]] = deque()  # while cold: when, and the cost in mean txns
 
     def shown_at(self, when: float) -> float:
         """Slots of own postings that a report true at that time counts."""
@@ -182,11 +185,6 @@
 
 
 class Txn:
-    __slots__ = (
-        *("avoid", "hopeless", "limit", "moved", "origin", "out", "over", "posted", "postings", "scheme"),
-        *("state", "taken"),
-    )
-
     def __init__(self, taken: Taken, terms: Terms, limit: float, over: bool) -> None:
         self.taken, self.limit, self.over = taken, limit, over
         # The terms it came under: read by its index later, a changed file made it another scheme's.
@@ -256,17 +254,15 @@
         before, self.terms = self.terms, event.terms
         self._read_terms()
         for at, scheme in enumerate(event.terms.schemes):
-            if at < len(self.runs):
-                self.runs[at].prior = scheme.expiry * RUN_PRIOR
-                continue
-            self.runs.append(Run(scheme))  # each kind reads the same list
-            for over, lanes in enumerate(self.lanes):
-                lanes.append(Lane(at, bool(over), self.runs[at]))
+            if at == len(self.runs):
+                self.runs.append(Run(scheme))  # each kind reads the same list
+                for over, lanes in enumerate(self.lanes):
+                    lanes.append(Lane(at, bool(over), self.runs[at]))
+            self.runs[at].prior = scheme.expiry * RUN_PRIOR
         for worker in self.workers.values():
             worker.running += [0] * (len(self.runs) - len(worker.running))
-        part = event.terms.schedulers, event.terms.position
-        if part != (before.schedulers, before.position):  # turns by the old order may have been taken
-            self.turns_from = now
+        if (event.terms.schedulers, event.terms.position) != (before.schedulers, before.position):
+            self.turns_from = now  # turns by the old order may have been taken
         if event.terms.accounts != before.accounts:
             self.tokens = [TOKENS + one.allowance / event.terms.schedulers for one in event.terms.accounts]
             self.token_at = [now] * len(self.tokens)
@@ -429,7 +425,8 @@
         if self.line_shown:
             self._show(worker, need, now)
         if self._is_cold(worker.since, now):
-            turn = self._turn(worker.index, worker.kind, worker.since, now, worker.turn)
+            worker.sends.append((now, self._cost(txn)))
+            turn = max(worker.turn, self._turn(worker.index, worker.kind, worker.since, now, worker.turn))
             # One that costs more than a mean txn pays with the own turns that come next.
             worker.debt = max(0.0, worker.debt + self._cost(txn) - 1.0)
             worker.turn = turn + int(worker.debt) * self.terms.schedulers
@@ -648,8 +645,20 @@
             return True
         if not self.ours:
             return False
+        if (part := self._part(worker, now)) >= WHOLE:
+            return sum(cost for _, cost in worker.sends) + 1.0 <= part
         return self._turn(worker.index, worker.kind, worker.since, now, worker.turn) >= 0
 
+    def _part(self, worker: Worker, now: float) -> float:
+        """Mean txns that this scheduler alone may send a cold worker in the span that ends now."""
+        span, age = self.terms.duties.push_span, now - worker.since
+        while worker.sends and worker.sends[0][0] <= now - span:
+            worker.sends.popleft()
+        if now - self.turns_from < span:  # what another process or a killed one sent is not known
+            return 0.0
+        earned = self._earned(worker.kind, age) - self._earned(worker.kind, age - span)
+        return STEADY * earned / self.terms.schedulers
+
     def _sound(self, worker: Worker, txn: Txn) -> bool:
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
         if worker is txn.avoid or not (worker.still or self._suspect(worker)):
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -87,3 +87,32 @@
     core = scene.open()
     assert [core._beyond_share(START, 0) for _ in range(3)] == [False, False, True]
     assert not core._beyond_share(START + 11_000.0, 0)
+
+
+def shows_two_schedulers_in_need_use_most_of_a_cold_workers_budget_and_no_more_in_any_span() -> None:
+    span, factor, cold, warm = 2000, 2.0, 0.2, 20_000
+    scenes, sent = [], []
+    for position in range(2):
+        scene = Play()
+        scene.terms = {"schedulers": 2, "position": position, "span": span, "factor": factor}
+        scene.terms |= {"cold": cold, "warm": warm}
+        scene.scheme("quote", "repeatable", "sla=900", "expiry=2000")
+        scene.step("0 roster B; A since=-10".split())
+        scene.step("1 take s quote".split())
+        scene.step("2 end s.0 settled 0 8".split())  # the kind has eight slots
+        scene.step("3 roster B draining".split())
+        scenes.append((scene, []))
+    for at in range(100, 12_000, 100):
+        for scene, out in scenes:
+            ends = [f"{at} end {txn}.0 settled 0 8" for txn in out]
+            out.clear()
+            for step in (*ends, f"{at} take t{at}x1-t{at}x4 quote"):
+                scene.step(step.split())
+                out += [told.split()[1] for told in scene.told if told.startswith("post")]
+            sent += [float(at)] * len(out)
+    used = []
+    for at in range(3000, 12_000, 500):
+        bears = cold + (1.0 - cold) * (at + 10) / warm
+        work = 2000 / 8 * sum(at - span < when <= at for when in sent)
+        used.append(work / (factor * bears * 8.0 * span))
+    assert max(used) < 0.8 and sum(used) > 0.55 * len(used), used
