--- a/sableford/intake/charter.py
+++ b/sableford/intake/charter.py
@@ -37,12 +37,14 @@
     dedup_scope: str = "cell"
     memory_span_s: float = 0.0
     aim_stretch: float | None = None
+    tardy_earnings: float = 0.0
 
 
 class _Limits(msgspec.Struct):
     most_postings: Annotated[int, msgspec.Meta(ge=1)]
     may_cancel: bool = False
     probes: bool = False
+    peers: bool = False
     retry_after: bool = False
     max_retry_after_s: float = 0.0
     conn_idle_s: float = 5.0
@@ -95,6 +97,7 @@
     overage_earnings: float = 1.0
     weights: str = "off"
     registry_mode: str = "automatic"
+    earnings_by: str = "request"
 
 
 _decoder = msgspec.json.Decoder(_Profile)
@@ -110,6 +113,8 @@
     for field in ("sla_time_s", "expiry_s"):
         if not 0.0 < getattr(given, field) < float("inf"):
             raise ValueError(f"schemes[{at}].{field}: not a positive number")
+    if not 0.0 <= given.tardy_earnings <= 1.0:
+        raise ValueError(f"schemes[{at}].tardy_earnings: not a part of the earnings")
     if not isfinite(given.earnings) or not isfinite(given.memory_span_s):
         raise ValueError(f"schemes[{at}]: not a finite number")
     stretch = given.aim_stretch if given.aim_stretch is not None else _nth(facts.class_stretch, at, 0.0)
@@ -122,9 +127,16 @@
         expiry=given.expiry_s * 1000.0,
         earnings=given.earnings,
         kind=_nth(facts.class_kind, at, -1),
+        tardy=given.tardy_earnings,
     )
 
 
+def _word(field: str, given: str, known: tuple[str, ...]) -> str:
+    if given not in known:
+        raise ValueError(f"{field}: unknown word {given!r}")
+    return given
+
+
 def read_charter(text: bytes) -> Charter:
     """Decode the settings; what is missing or bad is named in the error."""
     try:
@@ -166,6 +178,9 @@
         handled=places.get("concurrent", -1),
         free_slots=meanings.get("free slots", -1),
         free_memory=meanings.get("free memory", -1),
+        tells=limits.peers and profile.instances > 1,
+        by_work=_word("earnings_by", profile.earnings_by, ("request", "work")) == "work",
+        sizes=_word("weights", profile.weights, ("off", "nominal", "rough", "live")) == "nominal",
     )
     return Charter(
         terms,
--- a/sableford/intake/door.py
+++ b/sableford/intake/door.py
@@ -4,10 +4,16 @@
 """
 
 from collections.abc import Hashable
+from struct import Struct
+from zlib import crc32
 
 from sableford.model import Listed, Roster, Standing
 
 
+MARK = 0xFFFF  # of a mark, what is said of it in a message: some hundred workers are told apart
+_WORD = Struct("<HB")
+
+
 class Sheet:
     """A numbered list as it came: per worker its facts (zone, kind, cell, health, start), and the ratings."""
 
@@ -28,6 +34,7 @@
         self._free: list[int] = []
         self._workers: dict[Hashable, int] = {}
         self._listed: dict[Hashable, tuple] = {}
+        self._marks: dict[int, int] = {}
 
     def take(self, rid: Hashable) -> int:
         """Give a new txn its index."""
@@ -85,10 +92,28 @@
         return Roster(tuple(lines), lambda worker: ratings.get(ids[worker], 0.0))
 
     def _line(self, wid: Hashable, fact: tuple, standing: Standing) -> Listed:
-        worker = self.index(wid)
+        worker, mark = self.index(wid), crc32(str(wid).encode())
         if standing is Standing.GONE:
             self._listed.pop(wid, None)
         else:
             self._listed[wid] = fact
+            self._marks[mark & MARK] = worker
         zone, kind, cell, _, since = fact
-        return Listed(worker, zone, kind, cell, standing, since * 1000.0)
+        return Listed(worker, zone, kind, cell, standing, since * 1000.0, mark)
+
+    def word(self, worker: int, slots: float) -> bytes:
+        """What other schedulers are told of a worker; ids are too long to be said each time.
+
+        >>> door = Door(); _ = door.roster(Sheet([("w", 0, 0, 0, 1, 1.0, 0.0)]), True)
+        >>> len(door.word(0, 2.0)), door.heard(door.word(0, 2.0)), door.heard(b"?"), door.heard(b"none")
+        (3, (0, 2.0), None, None)
+        """
+        return _WORD.pack(crc32(str(self.worker_ids[worker]).encode()) & MARK, min(255, round(slots)))
+
+    def heard(self, word: bytes) -> tuple[int, float] | None:
+        """The worker and the slots that another scheduler speaks of; none where it makes no sense here."""
+        if len(word) != _WORD.size:
+            return None
+        mark, slots = _WORD.unpack(word)
+        worker = self._marks.get(mark)
+        return None if worker is None else (worker, float(slots))
--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -8,11 +8,11 @@
 from enum import IntEnum
 from heapq import heappop, heappush
 from itertools import islice
-from math import exp
+from math import exp, gcd
 from zlib import crc32
 
 from sableford.model import Banned, Repeats, Scheme, Scope, Terms, events
-from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
+from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Tell, Wake
 from sableford.model.events import NEVER_RAN, Ended, Ending, Event, Listed, Roster, Standing, Started, Taken
 
 MIX = 2_654_435_761  # spreads a checksum's bits: the golden part of 2**32
@@ -34,6 +34,10 @@
 DRAW_LEAST = 8.0  # workers: enough of each kind, and that a third of them full or ill leaves a choice
 WIDEN = 3  # strangers looked at when the draw has no room; the next look takes others
 NEAR = 0.5  # of the draw from the own zone first, where crossing has a price; the rest evens out the zones
+LISTENERS = 16.0  # schedulers told of a worker: each message costs all of them CPU, and fewer leave small draws
+TAKERS = 8  # schedulers that send to a cold worker, told of it; with more most turns came where no txn was
+TOLD_LIFE = 8.0  # mean runs: what a scheduler said longer ago is over; it may have been killed since
+TOLD_AGE = 5.0  # age limits: what is told between two reports keeps the copy fresh for that much longer
 EXCHANGE = 4000.0  # ms between exchanges of one drawn worker; some runs, so that the copies made are used
 UNHEARD_SLOTS = 2.0  # slots of a kind not yet heard of: the least a worker is built with
 SLACK_SLOTS = 0.5  # slots a noisy figure may be off before a worker counts as full
@@ -105,6 +109,7 @@
     def __init__(self, index: int, line: Listed, kind: "Kind") -> None:
         self.index, self.zone, self.cell, self.kind = index, line.zone, line.cell, kind
         self.ready, self.since, self.drawn = line.standing is Standing.READY, line.since, False
+        self.mark, self.listeners = line.mark, ()
         self.postings: dict[tuple[int, int], Posting] = {}
         self.own = self.shown = 0.0
         self.sent_at = 0.0  # the last posting
@@ -123,6 +128,8 @@
         self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
         self.turn, self.debt = -1, 0.0
         self.sends: deque[tuple[float, float]] = deque()  # while cold: when, and the cost in mean txns
+        self.told: dict[int, tuple[float, float]] = {}  # by scheduler: its slots out here, and when it said so
+        self.theirs = 0.0  # their sum
 
     def shown_at(self, when: float) -> float:
         """Slots of own postings that a report true at that time counts."""
@@ -236,6 +243,7 @@
             events.Lapsed: self._lapsed,
             events.Woken: self._patrol,
             events.Sampled: self._sampled,
+            events.Heard: self._heard,
             Roster: self._roster,
             Banned: self._banned,
             events.Turns: self._turns_pass,
@@ -248,6 +256,8 @@
         # Where no figure counts the waiting line, own postings in it hid the others' running ones.
         self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
         self.needs = sorted({scheme.kind for scheme in terms.schemes})
+        # Of the schedulers that may send to one cold worker.
+        self.takers = min(TAKERS, terms.schedulers) if terms.tells else terms.schedulers
 
     def _amended(self, now: float, event: events.Amended) -> None:
         """Other terms: what was learned stays where it is, what is new starts from nothing."""
@@ -422,6 +432,7 @@
         txn.posted += 1
         txn.origin = txn.origin or posting
         worker.own += need
+        self._tell(worker, now)
         if self.line_shown:
             self._show(worker, need, now)
         if self._is_cold(worker.since, now):
@@ -429,7 +440,7 @@
             turn = max(worker.turn, self._turn(worker.index, worker.kind, worker.since, now, worker.turn))
             # One that costs more than a mean txn pays with the own turns that come next.
             worker.debt = max(0.0, worker.debt + self._cost(txn) - 1.0)
-            worker.turn = turn + int(worker.debt) * self.terms.schedulers
+            worker.turn = turn + int(worker.debt) * self.takers
             worker.debt %= 1.0
         lane = self._lane(txn)
         lane.flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY) + 1.0
@@ -453,11 +464,13 @@
         usual = worker.kind.usual
         if self.cold and worker.index in self.cold:  # full by the others, it was left idle beside full ones
             usual = min(usual, self._bears(worker.since, now) * max(worker.kind.slots, UNHEARD_SLOTS))
+        if self.terms.tells and worker.others < 0.0:
+            return worker.own + worker.theirs + usual
         if worker.others < 0.0:
             # While nothing is heard all schedulers see the same empty fleet, and filled it many times over.
             alike = self.out * (self.terms.schedulers - 1) / max(1, len(self.open))
             return worker.own + max(usual, min(alike, 0.5 * max(worker.kind.slots, UNHEARD_SLOTS)))
-        return worker.own + usual + (worker.others - usual) * exp((worker.true_at - now) / self.drift)
+        return worker.own + worker.theirs + usual + (worker.others - usual) * exp((worker.true_at - now) / self.drift)
 
     def _usual(self, now: float) -> None:
         """What is assumed of the others at each kind, and how fast copies drift to it."""
@@ -556,11 +569,54 @@
         if line.zone == self.terms.zone:
             self.near.append(line.worker)
 
+    # What schedulers tell each other
+
+    def _party(self, mark: int, size: float) -> tuple[int, ...]:
+        """The schedulers that look after a worker, by its mark: known to all alike, nobody has to be asked."""
+        schedulers, chance = self.terms.schedulers, crc32(b"%d" % mark) * MIX % 2**32
+        step = 1 + chance // schedulers % max(1, schedulers - 1)
+        while gcd(step, schedulers) > 1:
+            step += 1
+        return tuple((chance + at * step) % schedulers for at in range(min(schedulers, int(size))))
+
+    def _tell(self, worker: Worker, now: float) -> None:
+        if self.terms.tells:
+            size = TAKERS if worker.index in self.cold else self._listeners()
+            party = self._party(worker.mark, size)
+            peers = tuple(peer for peer in party if peer != self.terms.position)
+            if peers:
+                self.effects.append(Tell(peers, worker.index, worker.own))
+
+    def _listeners(self) -> float:
+        return max(LISTENERS, DRAW_LEAST * self.crowd)
+
+    def _heard(self, now: float, event: events.Heard) -> None:
+        """Another scheduler's part of what is at a worker: as good as an own send or finish."""
+        line = self.listed.get(event.worker)
+        if line is not None:
+            worker = self.workers.get(event.worker) or self._meet(line)
+            before, _ = worker.told.get(event.peer, (0.0, 0.0))
+            worker.told[event.peer] = event.slots, now
+            worker.theirs += event.slots - before
+            self._show(worker, event.slots - before, now)
+            if self.held and event.slots < before:
+                self._pump(now)
+
+    def _outdate(self, worker: Worker, now: float) -> None:
+        """Forget what was said so long ago that it must be over: who said so may have been killed."""
+        for peer, (slots, at) in list(worker.told.items()):
+            if now - at > TOLD_LIFE * self.mean_run:
+                del worker.told[peer]
+                worker.theirs -= slots
+                self._show(worker, -slots, now)
+
     def _most(self) -> float:
         return max(DRAW_LEAST, WATCHERS * len(self.open) / self.terms.schedulers)
 
     def _redraw(self, now: float) -> None:
         """Fill the draw up: enough of each kind that some scheme needs, from the own zone first."""
+        if self.terms.tells:
+            return self._enlist()
         self._drop_drawn([worker for worker in self.drawn if not worker.ready or worker.index in self.cold])
         most = self._most()
         for need in self.needs:
@@ -573,6 +629,17 @@
                     self.drawn.append(worker)
                     count, least = count + 1, least - 1.0
 
+    def _enlist(self) -> None:
+        """Where schedulers speak to each other the draw is who this one hears about."""
+        self._drop_drawn(self.drawn)
+        for index in [*self.open, *self.cold]:
+            line = self.listed[index]
+            size = TAKERS if index in self.cold else self._listeners()
+            if self.terms.position in self._party(line.mark, size):
+                worker = self.workers.get(index) or self._meet(line)
+                worker.drawn = True
+                self.drawn.append(worker)
+
     def _drop_drawn(self, out: list[Worker]) -> None:
         for worker in out:
             worker.drawn = False
@@ -591,9 +658,14 @@
             if self.cold.get(index) == since:
                 del self.cold[index]
                 self._warm(self.listed[index])
+                if self.terms.tells:
+                    self._redraw(now)
+                    continue
                 # A fleet that doubled stood idle beside full draws: who is new has the same chance as all.
                 if len(self.drawn) > self._chance(len(self.open)):
                     self._draw(self.workers.get(index) or self._meet(self.listed[index]))
+        if self.terms.tells:
+            return
         if len(self.drawn) < min(len(self.open), self._most()):
             self._redraw(now)
         if not 0 < len(self.drawn) < len(self.open):
@@ -613,7 +685,8 @@
             if worker.waits or worker.pace < SLOW or not self._sound(worker, txn):
                 continue
             if self._allowed(worker, now, txn) and self._index(worker, now, self._need(txn), size)[1]:
-                self._draw(worker)
+                if not self.terms.tells:
+                    self._draw(worker)
                 return worker
         return None
 
@@ -622,7 +695,7 @@
         if not self.terms.tariff.probes:
             return
         for index, worker in indices:
-            aged = now - worker.true_at > AGE_LIMIT + self.lag
+            aged = now - worker.true_at > AGE_LIMIT * (TOLD_AGE if self.terms.tells else 1.0) + self.lag
             # Each probing as one alone may, some hundred schedulers spent more than the traffic earned.
             mine = self.crowd <= 1.0 or self._chance(1000) * self.crowd <= 1000.0
             if mine and (index < below or aged) and now - worker.probed >= AGE_LIMIT:
@@ -657,7 +730,7 @@
         if now - self.turns_from < span:  # what another process or a killed one sent is not known
             return 0.0
         earned = self._earned(worker.kind, age) - self._earned(worker.kind, age - span)
-        return STEADY * earned / self.terms.schedulers
+        return STEADY * earned / self.takers
 
     def _sound(self, worker: Worker, txn: Txn) -> bool:
         """Health against the peers; a suspect takes one txn at a time, and none that must not run twice."""
@@ -695,12 +768,17 @@
         """The own turn at a cold worker that is open and not taken yet, or -1."""
         # Its start is told to all alike: what it has earned since is given out in whole txns, to one
         # scheduler after the other. Rounded down in every span by itself, two thirds of it stood idle.
-        schedulers, span = self.terms.schedulers, self.terms.duties.push_span
+        schedulers, span = self.takers, self.terms.duties.push_span
         # What a scheduler killed just now sent is not known here: its turns from before have passed.
         least = max(taken + 1, self._earned(kind, max(now - span, self.turns_from) - since))
         # Called back by hand it is cold from a time of each scheduler's own: the order hangs on the list.
-        order = crc32(b"%d" % self.roster[index].since)
-        turn = least + (self.terms.position - order - least) % schedulers
+        place = self.terms.position - crc32(b"%d" % self.roster[index].since)
+        if self.terms.tells:
+            party = self._party(self.listed[index].mark, TAKERS)
+            if self.terms.position not in party:
+                return -1
+            place = party.index(self.terms.position)
+        turn = least + (place - least) % schedulers
         return turn if turn < self._earned(kind, now - since) else -1
 
     def _turns_pass(self, now: float, event: events.Turns) -> None:
@@ -710,6 +788,8 @@
 
     def _turns(self, now: float) -> list[Worker]:
         """Cold workers at which this scheduler may have a turn now; looked for a few times in a span."""
+        if self.terms.tells:
+            return []
         if now - self.turns_at >= self.terms.duties.push_span / 4.0:
             self.turns, self.turns_at = [], now
             for index, since in self.cold.items():
@@ -765,6 +845,7 @@
         self._measure(worker, now)
         self._judge(worker, posting, event.ending, now)
         worker.own = max(0.0, worker.own - posting.need)
+        self._tell(worker, now)
         if self.line_shown or posting.started:
             self._show(worker, -posting.need, now)
         if event.load:
--- a/sableford/model/__init__.py
+++ b/sableford/model/__init__.py
@@ -1,12 +1,13 @@
 """The core's types: what comes in, what goes out, and what is read at start."""
 
-from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Wake
+from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Tell, Wake
 from sableford.model.events import (
     Amended,
     Banned,
     Ended,
     Ending,
     Event,
+    Heard,
     Lapsed,
     Listed,
     Progressed,
@@ -33,6 +34,7 @@
     "Ending",
     "Event",
     "Follow",
+    "Heard",
     "Lapsed",
     "Listed",
     "Post",
@@ -48,6 +50,7 @@
     "Started",
     "Taken",
     "Tariff",
+    "Tell",
     "Terms",
     "Turns",
     "Unfollowed",
--- a/sableford/model/effects.py
+++ b/sableford/model/effects.py
@@ -43,10 +43,18 @@
     worker: int
 
 
+class Tell(NamedTuple):
+    """Tell some other schedulers what this one has out at a worker now, in slots."""
+
+    peers: tuple[int, ...]
+    worker: int
+    slots: float
+
+
 class Follow(NamedTuple):
     """Ask for the roster's changes from now on, or `once` those until now; what was missed first."""
 
     once: bool
 
 
-Effect = Post | CallOff | Decline | Reverse | Wake | Probe | Follow
+Effect = Post | CallOff | Decline | Reverse | Wake | Probe | Tell | Follow
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -41,6 +41,7 @@
     expiry: float
     slots: float
     memory: float
+    work: float = 0.0  # its running time on a standard core as hinted, 0 where it is not told
 
 
 class Started(NamedTuple):
@@ -95,6 +96,7 @@
     cell: int
     standing: Standing
     since: float
+    mark: int = 0  # a number that all schedulers have for this worker
 
 
 class Roster(NamedTuple):
@@ -105,6 +107,14 @@
     rating: Callable[[int], float]
 
 
+class Heard(NamedTuple):
+    """Another scheduler says what it has out at a worker now, in slots."""
+
+    peer: int
+    worker: int
+    slots: float
+
+
 class Banned(NamedTuple):
     """Operators took a worker out by hand at that time, or (`out` false) called it back, cold."""
 
@@ -137,6 +147,7 @@
     | Lapsed
     | Woken
     | Sampled
+    | Heard
     | Roster
     | Banned
     | Turns
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -31,6 +31,7 @@
     expiry: float
     earnings: float
     kind: int
+    tardy: float = 0.0  # the part of the earnings that an answer past the SLA time gets
 
 
 class Account(NamedTuple):
@@ -80,3 +81,6 @@
     handled: int
     free_slots: int
     free_memory: int
+    tells: bool = False  # schedulers may send each other messages
+    by_work: bool = False  # earnings count for each unit of work, not for each txn
+    sizes: bool = False  # the ratings are the workers' nominal sizes
--- a/sableford/simhost/__main__.py
+++ b/sableford/simhost/__main__.py
@@ -12,6 +12,7 @@
     Ended,
     Event,
     Follow,
+    Heard,
     Lapsed,
     Post,
     Probe,
@@ -20,6 +21,7 @@
     Sampled,
     Started,
     Taken,
+    Tell,
     Unfollowed,
     Wake,
     Woken,
@@ -28,6 +30,7 @@
 
 _LIST_DELTA, _LIST_FULL, _LIST_CACHED, _LIST_FAILED = range(4)
 _NOTE_STARTED = 1
+_HINTED = 1
 
 
 class Instance:
@@ -63,6 +66,8 @@
                 reply.subscribe(number)
             case Probe(worker):
                 reply.check(number, door.worker_ids[worker])
+            case Tell(peers, worker, slots):
+                reply.write_peers(number, peers, door.word(worker, slots))
 
 
 class Host:
@@ -102,6 +107,11 @@
             instance = self._instances.get(number)
             if instance is None:
                 return None
+            if code == wire.MESSAGE:
+                _, peer, offset, length = wire.message(body, at + 1)
+                if (word := instance.door.heard(frame.tail(offset, length))) is not None:
+                    instance.tell(now, Heard(peer, *word), reply)
+                return None
             if code == wire.FLEET:
                 self._fleet(instance, now, wire.fleet(body, at + 1), reply)
                 return None
@@ -128,8 +138,9 @@
 
 
 def _call(door: Door, body: bytes, at: int) -> Event:
-    _, rid, scheme, account, _, give_up, _, slots, memory, _ = wire.call(body, at)
-    return Taken(door.take(rid), scheme, account, give_up * 1000.0, slots or 1.0, memory)
+    _, rid, scheme, account, _, give_up, work, slots, memory, facts = wire.call(body, at)
+    work = work * 1000.0 if facts & _HINTED else 0.0
+    return Taken(door.take(rid), scheme, account, give_up * 1000.0, slots or 1.0, memory, work)
 
 
 def _report_back(door: Door, body: bytes, at: int) -> Event | None:
--- a/sableford/simhost/wire.py
+++ b/sableford/simhost/wire.py
@@ -14,6 +14,7 @@
 born = Struct("<IQII").unpack_from
 report_back = Struct("<IQIBBHdBB4f").unpack_from
 call = Struct("<IQHIQddffH").unpack_from
+message = Struct("<IHII").unpack_from
 instance = Struct("<I").unpack_from
 lapsed = Struct("<IQ").unpack_from
 inventory = Struct("<BII").unpack_from
@@ -30,6 +31,7 @@
 _subscribe = Struct("<BIB26x").pack
 _check = Struct("<BII23x").pack
 _fault = Struct("<BIII19x").pack
+_write_peer = Struct("<BIIII15x").pack
 
 ENDINGS = {
     100: Ending.SETTLED,
@@ -108,6 +110,11 @@
     def check(self, inst: int, worker: int) -> None:
         self._records.append(_check(22, inst, worker))
 
+    def write_peers(self, inst: int, peers: tuple[int, ...], word: bytes) -> None:
+        at = len(self._tail)
+        self._records += [_write_peer(27, inst, peer, at, len(word)) for peer in peers]
+        self._tail += word
+
     def fault(self, inst: int, text: str) -> None:
         told = text.encode()
         self._records.append(_fault(21, inst, len(self._tail), len(told)))
