--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -36,6 +36,7 @@
 NEAR = 0.5  # of the draw from the own zone first, where crossing has a price; the rest evens out the zones
 LISTENERS = 16.0  # schedulers told of a worker: each message costs all of them CPU, and fewer leave small draws
 TAKERS = 8  # schedulers that send to a cold worker, told of it; with more most turns came where no txn was
+FREELY = 0.75  # of its slots: filled so far by known txns a worker is no slower, so that the fastest go first
 TOLD_LIFE = 8.0  # mean runs: what a scheduler said longer ago is over; it may have been killed since
 TOLD_AGE = 5.0  # age limits: what is told between two reports keeps the copy fresh for that much longer
 EXCHANGE = 4000.0  # ms between exchanges of one drawn worker; some runs, so that the copies made are used
@@ -69,6 +70,7 @@
 MOVE_MEMORY = 4000.0  # ms: decay of the count of moves
 MOVE_WEIGHT = 6.0  # moves taken for landed, so that one in vain is not yet a finding
 LANDING = 0.55  # of the moves must begin at once: with fewer all lines are full
+HUNG = 3.0  # mean runs without a start, where lines are known before a txn goes into one: its worker hangs
 STILL = 1.5  # progress gaps without news before a running posting counts as standing still
 STILL_SLACK = 300.0  # ms on top, for pauses and the way
 TYPICAL = 0.5  # of the mean run: the median of the heavy-tailed runs seen
@@ -485,7 +487,9 @@
         """The load index of one worker, and whether it has room."""
         jobs = self._estimate(worker, now)
         slots = max(worker.kind.slots, UNHEARD_SLOTS)
-        index = (jobs + need) * size / (slots * worker.pace) - need
+        # Free slots of the fast kinds stood beside txns that ran late on the slow ones.
+        load = max(jobs + need, FREELY * slots) if self.terms.tells else jobs + need
+        index = load * size / (slots * worker.pace) - need
         if worker.zone != self.terms.zone and self.terms.tariff.crossing:
             index += CROSSING_STEP
         index += DOUBT * (1.0 - exp((worker.true_at - now) / self.drift))
@@ -998,6 +1002,8 @@
             # What stands in the line of one taken out by hand is lost at its restart, moves in vain or not.
             stuck = worker.index in self.bans and self.bans[worker.index].out
             idle = posting.mute if posting.started else stuck or (not vain and posting.waited(now))
+            # Where a call-off drops nothing, each txn moved out of a line ran twice, and lines grew by it.
+            idle = idle and (not self.terms.tells or stuck or now - posting.news > HUNG * self.mean_run)
             left = txn.postings - (not posting.started) - txn.posted
             free = txn.state is State.OUT and not posting.called_off and left > 0 and now < txn.limit
             if not (idle and free) or scheme.repeats is Repeats.ONCE_ONLY:
