--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -515,7 +515,8 @@
             index, room = self._index(worker, now, need, size)
             spare = reserve if sound and worker.pace < SLOW else indices
             (spare if room else full).append((index, worker))
-        if not indices and (stranger := self._widen(now, txn, size)):
+        # Of strangers nothing is told: they looked idle beside full copies, and lines grew on them.
+        if not (indices or self.terms.tells) and (stranger := self._widen(now, txn, size)):
             return stranger
         indices = indices or reserve
         if not indices:
@@ -689,8 +690,7 @@
             if worker.waits or worker.pace < SLOW or not self._sound(worker, txn):
                 continue
             if self._allowed(worker, now, txn) and self._index(worker, now, self._need(txn), size)[1]:
-                if not self.terms.tells:
-                    self._draw(worker)
+                self._draw(worker)
                 return worker
         return None
 
