--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -3,6 +3,7 @@
 `Scheduler(terms, seed).handle(now, event)` returns the effects in order; types stand in `sableford/model/`.
 """
 
+from bisect import insort
 from collections import deque
 from collections.abc import Iterator
 from enum import IntEnum
@@ -93,6 +94,7 @@
 State = IntEnum("State", "HELD OUT OVER")
 Input = IntEnum("Input", "ROOM LATE STALLED NEVER_RAN MAY_HAVE_RUN SETTLED LAPSED")
 Again = IntEnum("Again", "ANYWHERE IN_GROUP NOWHERE")
+Rank = IntEnum("Rank", "SHARE BEYOND TARDY", start=0)  # within its tenant's share, beyond it, past the SLA time
 
 # (scheme's repeats, may an earlier posting have run) -> where it may go again, may it be declined
 PERMITS = {
@@ -172,11 +174,11 @@
 
 
 class Lane:
-    """Held txns of one scheme, within their tenants' shares or beyond, and how many went out lately."""
+    """Held txns of one scheme and rank, the next one's limit first, and how many went out lately."""
 
-    def __init__(self, scheme: int, over: bool, run: Run) -> None:
-        self.scheme, self.over, self.run = scheme, over, run
-        self.queue: deque[int] = deque()
+    def __init__(self, scheme: int, rank: int, run: Run) -> None:
+        self.scheme, self.rank, self.run = scheme, rank, run
+        self.queue: list[tuple[float, int]] = []
         self.flow, self.flow_at = 0.0, 0.0
 
 
@@ -194,8 +196,8 @@
 
 
 class Txn:
-    def __init__(self, taken: Taken, terms: Terms, limit: float, over: bool) -> None:
-        self.taken, self.limit, self.over = taken, limit, over
+    def __init__(self, taken: Taken, terms: Terms, limit: float, rank: int) -> None:
+        self.taken, self.limit, self.rank = taken, limit, rank
         # The terms it came under: read by its index later, a changed file made it another scheme's.
         self.scheme, self.postings = terms.schemes[taken.scheme], terms.tariff.postings
         self.hopeless, self.moved = taken.expiry, False
@@ -226,8 +228,9 @@
         self.turn, self.scouted, self.drift, self.mean_run = -1, 0.0, 1.0, 1.0
         self.kinds: dict[int, Kind] = {}
         self.runs = [Run(scheme) for scheme in terms.schemes]
-        self.lanes = [[Lane(at, over, run) for at, run in enumerate(self.runs)] for over in (False, True)]
+        self.lanes = [[Lane(at, rank, run) for at, run in enumerate(self.runs)] for rank in Rank]
         self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
+        self.parties: dict[tuple[int, int], tuple[int, ...]] = {}  # by mark and size, once worked out
         self.ours, self.turns_from = True, 0.0  # the turns at cold workers, and since when
         self.born, self.follow_at, self.refused = -1.0, 0.0, 0
         self.limits: list[tuple[float, int]] = []
@@ -268,13 +271,14 @@
         for at, scheme in enumerate(event.terms.schemes):
             if at == len(self.runs):
                 self.runs.append(Run(scheme))  # each kind reads the same list
-                for over, lanes in enumerate(self.lanes):
-                    lanes.append(Lane(at, bool(over), self.runs[at]))
+                for rank, lanes in enumerate(self.lanes):
+                    lanes.append(Lane(at, rank, self.runs[at]))
             self.runs[at].prior = scheme.expiry * RUN_PRIOR
         for worker in self.workers.values():
             worker.running += [0] * (len(self.runs) - len(worker.running))
         if (event.terms.schedulers, event.terms.position) != (before.schedulers, before.position):
             self.turns_from = now  # turns by the old order may have been taken
+            self.parties.clear()
         if event.terms.accounts != before.accounts:
             self.tokens = [TOKENS + one.allowance / event.terms.schedulers for one in event.terms.accounts]
             self.token_at = [now] * len(self.tokens)
@@ -332,7 +336,7 @@
         where, _ = PERMITS[txn.scheme.repeats, txn.origin is not None]
         if where is Again.NOWHERE or now >= txn.limit or txn.posted >= txn.postings:
             return Input.LATE
-        self._hold(index, txn, first=True)
+        self._hold(index, txn)
         return None
 
     def _call_off(self, now: float, index: int, txn: Txn) -> None:
@@ -352,19 +356,31 @@
 
     def _taken(self, now: float, event: Taken) -> None:
         scheme = self.terms.schemes[event.scheme]
-        typical = TYPICAL * self.runs[event.scheme].mean()
+        typical = event.work or TYPICAL * self.runs[event.scheme].mean()
         patience = scheme.sla + max(0.0, scheme.stretch - 1.0) * typical
         limit = min(now + patience, event.expiry - LAST_CALL)
-        txn = self.txns[event.txn] = Txn(event, self.terms, limit, self._beyond_share(now, event.account))
+        rank = Rank.BEYOND if self._beyond_share(now, event.account) else Rank.SHARE
+        txn = self.txns[event.txn] = Txn(event, self.terms, limit, rank)
         # Of others the clients come back at once, and where a call-off drops nothing each ran several times.
         if self.terms.tells_start and scheme.repeats is Repeats.ONCE_ONLY:
             txn.hopeless = now + scheme.sla + max(0.0, scheme.stretch - 1.0) * HOPE * typical / TYPICAL
-        if self._wait_ahead(now, self._lane(txn)) > ADMITTED * patience:
+        ahead = self._wait_ahead(now, self._lane(txn))
+        if ahead > ADMITTED * patience and not self._tardy(now, txn):
             self._step(now, event.txn, Input.LATE)
         else:
-            self._hold(event.txn, txn, first=False)
+            self._hold(event.txn, txn)
             self._pump(now)
 
+    def _tardy(self, now: float, txn: Txn) -> bool:
+        """Whether it is worth an answer past its SLA time, and may come to one: then it goes on waiting."""
+        # Given up at the SLA time, txns worth a third still were declined while workers came free.
+        left = txn.taken.expiry - LAST_CALL - now
+        lane = self.lanes[Rank.TARDY][txn.taken.scheme]
+        if not txn.scheme.tardy or txn.rank is Rank.TARDY or self._wait_ahead(now, lane) > ADMITTED * left:
+            return False
+        txn.rank, txn.limit = Rank.TARDY, now + left
+        return True
+
     def _beyond_share(self, now: float, account: int) -> bool:
         """Whether the tenant sends more than this scheduler's part of its allowance."""
         if account >= len(self.tokens) or not self.terms.accounts[account].allowance:
@@ -381,13 +397,13 @@
         flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY)
         return max(0, len(lane.queue) - 1) * FLOW_MEMORY / max(flow, FLOW_LEAST)
 
-    def _hold(self, index: int, txn: Txn, first: bool) -> None:
-        (self._lane(txn).queue.appendleft if first else self._lane(txn).queue.append)(index)
+    def _hold(self, index: int, txn: Txn) -> None:
+        insort(self._lane(txn).queue, (txn.limit, index))
         self.held += 1
         heappush(self.limits, (txn.limit, index))
 
     def _let_go(self, index: int, txn: Txn) -> None:
-        self._lane(txn).queue.remove(index)
+        self._lane(txn).queue.remove((txn.limit, index))
         self.held -= 1
 
     def _expire(self, now: float) -> None:
@@ -397,31 +413,43 @@
             txn = self.txns.get(index)
             if txn is not None and txn.state is State.HELD and txn.limit < now:
                 self._let_go(index, txn)
-                self._step(now, index, Input.LATE)
+                if self._tardy(now, txn):
+                    self._hold(index, txn)
+                else:
+                    self._step(now, index, Input.LATE)
 
     def _lane(self, txn: Txn) -> "Lane":
-        return self.lanes[txn.over][txn.taken.scheme]
+        return self.lanes[txn.rank][txn.taken.scheme]
 
     def _pump(self, now: float) -> None:
         """Post what is held while workers have room: first what earns most for the time it takes."""
         self._expire(now)
         if not self.held:
             return
+        full: set[tuple[int, bool, float]] = set()
         for lane in sorted((lane for both in self.lanes for lane in both), key=self._earns, reverse=True):
             while lane.queue:
-                index = lane.queue[0]
+                _, index = lane.queue[0]
                 txn = self.txns[index]
+                scheme = txn.scheme
+                # Asked for each lane anew, full workers cost nine looks at the draw for each finish told.
+                like = (scheme.kind, scheme.repeats is Repeats.ONCE_ONLY, self._need(txn))
+                if not txn.posted and like in full:
+                    break
                 if (worker := self._choose(now, txn)) is None:
+                    if not txn.posted:
+                        full.add(like)
                     break
-                lane.queue.popleft()
+                lane.queue.pop(0)
                 self.held -= 1
                 self.chosen = worker
                 self._step(now, index, Input.ROOM)
 
     def _earns(self, lane: "Lane") -> float:
-        """Earnings for each running millisecond; beyond a tenant's share they shrink."""
+        """Earnings for each running millisecond; beyond a tenant's share and past the SLA time they shrink."""
         scheme = self.terms.schemes[lane.scheme]
-        return scheme.earnings * (self.terms.tariff.overage if lane.over else 1.0) / lane.run.mean()
+        part = (1.0, self.terms.tariff.overage, scheme.tardy)[lane.rank]
+        return scheme.earnings * part / (1.0 if self.terms.by_work else lane.run.mean())
 
     def _post(self, now: float, index: int, txn: Txn) -> None:
         worker, need = self.chosen, self._need(txn)
@@ -578,11 +606,15 @@
 
     def _party(self, mark: int, size: float) -> tuple[int, ...]:
         """The schedulers that look after a worker, by its mark: known to all alike, nobody has to be asked."""
+        if (party := self.parties.get((mark, int(size)))) is not None:
+            return party
         schedulers, chance = self.terms.schedulers, crc32(b"%d" % mark) * MIX % 2**32
         step = 1 + chance // schedulers % max(1, schedulers - 1)
         while gcd(step, schedulers) > 1:
             step += 1
-        return tuple((chance + at * step) % schedulers for at in range(min(schedulers, int(size))))
+        party = tuple((chance + at * step) % schedulers for at in range(min(schedulers, int(size))))
+        self.parties[mark, int(size)] = party
+        return party
 
     def _tell(self, worker: Worker, now: float) -> None:
         if self.terms.tells:
@@ -604,7 +636,7 @@
             worker.told[event.peer] = event.slots, now
             worker.theirs += event.slots - before
             self._show(worker, event.slots - before, now)
-            if self.held and event.slots < before:
+            if self.held and event.slots < before and worker.own + worker.theirs < worker.kind.slots:
                 self._pump(now)
 
     def _outdate(self, worker: Worker, now: float) -> None:
@@ -753,7 +785,8 @@
 
     def _cost(self, txn: Txn) -> float:
         """In mean txns."""
-        return self.runs[txn.taken.scheme].mean() / self.mean_run * max(1.0, txn.taken.slots)
+        work = txn.taken.work or self.runs[txn.taken.scheme].mean()
+        return work / self.mean_run * max(1.0, txn.taken.slots)
 
     def _bears(self, since: float, now: float) -> float:
         """The part of its capacity that a worker has at least."""
@@ -970,7 +1003,7 @@
             self.effects.append(Follow(once=self.terms.ask_within > 0.0))
         silence = self.terms.progress and self.terms.progress * STILL + STILL_SLACK
         late: list[int] = []
-        for worker in [*self.drawn, *(worker for worker in self.active.values() if not worker.drawn)]:
+        for worker in self.active.values():  # measured all, the draw took two fifths of the CPU
             self._measure(worker, now)
             self._look(worker, now)
             for (index, _), posting in worker.postings.items():
