--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -30,6 +30,7 @@
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 LAG_GAIN = 0.85  # of the present lag's misfit: less than this is a finding, more is chance
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
+PAST_MOST = 2000  # changes kept of one worker: where nothing is reported they are never read
 CROSSING_STEP = 0.25  # jobs added to a worker in another zone where crossing has a price
 WATCHERS = 6.0  # schedulers to a worker: with more, others move its copies faster than answers renew them
 DRAW_LEAST = 8.0  # workers: enough of each kind, and that a third of them full or ill leaves a choice
@@ -91,6 +92,7 @@
 COLD_MARGIN = 0.45  # of the push factor: a turn may be taken a span late, so twice as many can meet in one
 
 
+NOTHING = (0.0, 0.0)  # told so far
 State = IntEnum("State", "HELD OUT OVER")
 Input = IntEnum("Input", "ROOM LATE STALLED NEVER_RAN MAY_HAVE_RUN SETTLED LAPSED")
 Again = IntEnum("Again", "ANYWHERE IN_GROUP NOWHERE")
@@ -117,7 +119,7 @@
         self.postings: dict[tuple[int, int], Posting] = {}
         self.own = self.shown = 0.0
         self.sent_at = 0.0  # the last posting
-        self.past: deque[tuple[float, float]] = deque()
+        self.past: deque[tuple[float, float]] = deque(maxlen=PAST_MOST)
         self.running = [0] * len(kind.runs)
         self.forget()
 
@@ -292,6 +294,9 @@
             if self.terms.follows and not self.terms.ask_within:
                 self.effects.append(Follow(once=False))
         self.handlers[type(event)](now, event)
+        # By far the most events, and most of them change no wake-up.
+        if type(event) is events.Heard and not self.effects:
+            return []
         if self.held or self.follow_at or self.active:
             after = PATROL if self.held or self.unstarted else REST
             if self.follow_at:
@@ -483,8 +488,6 @@
     def _show(self, worker: Worker, slots: float, now: float) -> None:
         worker.shown = max(0.0, worker.shown + slots)
         worker.past.append((now, worker.shown))
-        while len(worker.past) > 1 and worker.past[1][0] < now - HISTORY:
-            worker.past.popleft()
 
     # The mechanism: aged copies, the local bound, the rotation
 
@@ -629,15 +632,18 @@
 
     def _heard(self, now: float, event: events.Heard) -> None:
         """Another scheduler's part of what is at a worker: as good as an own send or finish."""
-        line = self.listed.get(event.worker)
-        if line is not None:
-            worker = self.workers.get(event.worker) or self._meet(line)
-            before, _ = worker.told.get(event.peer, (0.0, 0.0))
-            worker.told[event.peer] = event.slots, now
-            worker.theirs += event.slots - before
-            self._show(worker, event.slots - before, now)
-            if self.held and event.slots < before and worker.own + worker.theirs < worker.kind.slots:
-                self._pump(now)
+        peer, index, slots = event
+        if (worker := self.workers.get(index)) is None:
+            if (line := self.listed.get(index)) is None:
+                return
+            worker = self._meet(line)
+        more = slots - worker.told.get(peer, NOTHING)[0]
+        worker.told[peer] = slots, now
+        worker.theirs += more
+        worker.shown += more
+        worker.past.append((now, worker.shown))
+        if self.held and more < 0.0 and worker.own + worker.theirs < worker.kind.slots:
+            self._pump(now)
 
     def _outdate(self, worker: Worker, now: float) -> None:
         """Forget what was said so long ago that it must be over: who said so may have been killed."""
@@ -954,6 +960,8 @@
     def _renew(self, worker: Worker, jobs: float, now: float) -> None:
         """A fresh copy: the jobs at the worker a lag ago, less the own ones then."""
         kind = worker.kind
+        while len(worker.past) > 1 and worker.past[1][0] < now - HISTORY:
+            worker.past.popleft()
         self._learn_lag(worker, jobs, now)
         worker.reported, worker.true_at = jobs, now - self.lag
         worker.others = max(0.0, jobs - worker.shown_at(worker.true_at))
--- a/sableford/simhost/__main__.py
+++ b/sableford/simhost/__main__.py
@@ -95,6 +95,13 @@
             return None
         (number,) = wire.instance(body, at + 1)
         try:
+            if code == wire.MESSAGE:
+                _, peer, offset, length = wire.message(body, at + 1)
+                instance = self._instances.get(number)
+                word = instance and instance.door.heard(frame.tail(offset, length))
+                if word is not None:
+                    instance.tell(now, Heard(peer, *word), reply)
+                return None
             if code == wire.BORN:
                 _, seed, offset, length = wire.born(body, at + 1)
                 self._instances[number] = Instance(number, seed, frame.tail(offset, length))
@@ -107,11 +114,6 @@
             instance = self._instances.get(number)
             if instance is None:
                 return None
-            if code == wire.MESSAGE:
-                _, peer, offset, length = wire.message(body, at + 1)
-                if (word := instance.door.heard(frame.tail(offset, length))) is not None:
-                    instance.tell(now, Heard(peer, *word), reply)
-                return None
             if code == wire.FLEET:
                 self._fleet(instance, now, wire.fleet(body, at + 1), reply)
                 return None
