--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -278,6 +278,14 @@
             self.runs[at].prior = scheme.expiry * RUN_PRIOR
         for worker in self.workers.values():
             worker.running += [0] * (len(self.runs) - len(worker.running))
+        if event.terms.tells != before.tells:
+            # Kept, what was told before a time without words was counted on for ever.
+            for worker in self.workers.values():
+                worker.told.clear()
+                worker.theirs = 0.0
+                worker.shown = worker.own if self.line_shown else 0.0
+                worker.past.clear()
+            self.exchange_at, self.turns_from = now, now
         if (event.terms.schedulers, event.terms.position) != (before.schedulers, before.position):
             self.turns_from = now  # turns by the old order may have been taken
             self.parties.clear()
--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -30,6 +30,7 @@
     granted: tuple[int, float]  # sockets and memory, of all processes of this scheduler together
     filed: tuple[tuple[str, int] | None, ...]  # where to listen, discovery and the console by the file alone
     keys: frozenset[str]  # every key of the file, by its path
+    peers: tuple[tuple[str, int], ...] = ()  # all schedulers by position; none where they may not speak
 
     def shared(self, processes: int) -> Limits:
         """What one process has of what is granted to all of them."""
@@ -52,6 +53,7 @@
     known: msgspec.Raw
     settings: msgspec.Raw
     console: str = ""
+    peers: list[str] = []
 
 
 class Reread(NamedTuple):
@@ -61,13 +63,13 @@
 class Keeper:
     """The file's actor: reads it again when asked, and tells the others what is new in it."""
 
-    def __init__(self, path: str, log: Log, processes: int = 1) -> None:
-        self.mail = Mailbox()
+    def __init__(self, path: str, log: Log, processes: int = 1, talk: bool = False) -> None:
+        self.mail, self._talk = Mailbox(), talk
         self._path, self._log, self._processes = path, log, processes
 
     async def run(self, berth: Berth, others: tuple[Mailbox, ...]) -> None:
         """A file as a whole or not at all. Asked twice at once it reads once."""
-        now, last = Renew(berth.limits, berth.discovery, berth.charter), berth
+        now, last = Renew(berth.limits, berth.discovery, berth.charter, berth.peers), berth
         while True:
             messages = await self.mail.take()
             for message in messages:
@@ -79,7 +81,7 @@
             if not any(isinstance(message, Reread) for message in messages):
                 continue
             try:
-                read = read_berth(self._path)
+                read = read_berth(self._path, self._talk)
                 # Cut by an editor or a template a file can be sound, and say less than was meant.
                 if lost := min(last.keys - read.keys, default=""):
                     raise ValueError(f"{self._path}: {lost}: missing, the file in force has it")
@@ -89,7 +91,8 @@
             # By the file alone: the variables name what was true at start.
             moved = read.filed[1] != last.filed[1]
             charter = amended(now.charter, read.charter)
-            told = Renew(read.shared(self._processes), read.filed[1] if moved else now.discovery, charter)
+            discovery = read.filed[1] if moved else now.discovery
+            told = Renew(read.shared(self._processes), discovery, charter, read.peers)
             fixed = [
                 field
                 for field, differs in (
@@ -109,8 +112,8 @@
             now, last = told, read
 
 
-def read_berth(path: str) -> Berth:
-    """Read the file; ValueError names the file and the field."""
+def read_berth(path: str, talk: bool = False) -> Berth:
+    """Read the file; ValueError names the file and the field. Without `talk` no peers are spoken to."""
     try:
         whole = Path(path).read_bytes()
         text = msgspec.json.decode(whole, type=_Text)
@@ -122,6 +125,12 @@
         charter = read_charter(text.settings)
     except ValueError as problem:
         raise ValueError(f"{path}: {problem}") from problem
+    try:
+        peers = _peers(text.peers, charter) if charter.terms.tells else ()
+    except ValueError as problem:
+        raise ValueError(f"{path}: peers: {problem}") from problem
+    peers = peers if talk else ()
+    charter = charter._replace(terms=charter.terms._replace(tells=bool(peers)))
     try:
         wire.listing(text.known, charter)
     except msgspec.MsgspecError as problem:
@@ -140,10 +149,22 @@
     keys = frozenset(_paths(msgspec.json.decode(whole) | {"known": None}, ""))
     return Berth(
         *(text.name, listen, discovery, console, text.seed, known, charter, limits, size),
-        *(tuple(filed), keys),
+        *(tuple(filed), keys, peers),
     )
 
 
+def _peers(given: list[str], charter: Charter) -> tuple[tuple[str, int], ...]:
+    """The schedulers' addresses by position; none at all is a fleet whose members don't know each other."""
+    places, terms = tuple(map(wire.address, given)), charter.terms
+    if places and len(places) != terms.schedulers:
+        raise ValueError(f"{len(places)} addresses for {terms.schedulers} instances")
+    if len(set(places)) < len(places):
+        raise ValueError("an address twice")
+    if places and not 0 <= terms.position < len(places):
+        raise ValueError(f"none for position {terms.position}")
+    return places
+
+
 def _paths(value: object, before: str) -> Iterator[str]:
     """The path of every key; of a list's entries those that all have.
 
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -19,6 +19,7 @@
 from sableford.net.handover import Handover
 from sableford.net.log import Log
 from sableford.net.mail import Clock, Leave, Turn
+from sableford.net.peers import Peers
 from sableford.net.roster import Roster, first_list, inherited
 
 BAD_START, FAILED = 2, 70
@@ -43,7 +44,7 @@
     return listener
 
 
-async def run(berth: Berth, path: str, log: Log) -> int:
+async def run(berth: Berth, path: str, log: Log, talk: bool = False) -> int:
     """Start every actor, and end when the gate has."""
     loop, charter = asyncio.get_running_loop(), berth.charter
     loop.set_exception_handler(
@@ -60,11 +61,12 @@
     if kept is not None and (later := inherited(kept.listing, charter, log)) is not None:
         first, revision = later, None
     roster = Roster(berth.discovery, revision, limits, charter, log)
-    desk = Desk(charter, berth.seed, roster.mail, clock, limits, log)
+    peers = Peers(berth.peers, charter.terms.position, limits, log)
+    desk = Desk(charter, berth.seed, roster.mail, clock, limits, log, peers.mail)
     gate = Gate(listener, desk.mail, clock, limits, charter, log)
     if handover.on():
         desk.inherit(handover.mail, kept.legacy if kept is not None else None)
-    keeper = Keeper(path, log, processes)
+    keeper = Keeper(path, log, processes, talk)
     for told in (*rules, Turn(handover.holds()), first):  # lie there before any txn can
         desk.mail.put(told)
     console = Console(desk.console, handover.mail, clock, limits, log)
@@ -78,13 +80,15 @@
     for stop in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(stop, leave)
     loop.add_signal_handler(signal.SIGHUP, keeper.mail.put, Reread())
+    others = (peers.mail, roster.mail, desk.mail, gate.mail)
     actors = {
         loop.create_task(desk.run(), name="desk"): desk,
         loop.create_task(roster.run(desk.mail), name="roster"): roster,
         loop.create_task(gate.run(), name="gate"): gate,
         loop.create_task(console.run(), name="console"): console,
         loop.create_task(handover.run(desk.mail, gate.mail, keeper.mail), name="handover"): handover,
-        loop.create_task(keeper.run(berth, (roster.mail, desk.mail, gate.mail)), name="keeper"): keeper,
+        loop.create_task(keeper.run(berth, others), name="keeper"): keeper,
+        loop.create_task(peers.run(desk.mail), name="peers"): peers,
     }
     log.say("serving", listen=berth.listen, console=berth.console, clients=limits.clients, lines=limits.lines)
     done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
@@ -121,17 +125,18 @@
 @main.command()
 @_path
 @click.option("--each-txn", is_flag=True, help="Log each txn's postings and answers too.")
-def serve(config: str, each_txn: bool) -> None:
+@click.option("--talk", is_flag=True, help="Speak to the peers that the file names, by UDP.")
+def serve(config: str, each_txn: bool, talk: bool) -> None:
     """Run one scheduler until SIGTERM.
 
     On SIGHUP the file is read again: discovery's address and the limits take effect at once, a bad file
     changes nothing, and what else changed is logged as needing a restart.
     """
     try:
-        berth = read_berth(config)
+        berth = read_berth(config, talk)
         log = Log(berth.name, each_txn)
         gc.freeze()
-        code = asyncio.run(run(berth, config, log))
+        code = asyncio.run(run(berth, config, log, talk))
     except ValueError as problem:
         _told(problem)
     sys.exit(code)
@@ -139,10 +144,11 @@
 
 @main.command()
 @_path
-def check(config: str) -> None:
+@click.option("--talk", is_flag=True, help="As it would be read for `serve --talk`.")
+def check(config: str, talk: bool) -> None:
     """Read a configuration and say what was understood, or what is wrong."""
     try:
-        berth = read_berth(config)
+        berth = read_berth(config, talk)
     except ValueError as problem:
         _told(problem)
     charter, limits = berth.charter, berth.limits
@@ -150,6 +156,8 @@
     if berth.console is not None:
         click.echo(f"operators call {berth.console[0]}:{berth.console[1]}")
     click.echo(f"schemes: {', '.join(charter.schemes)}; schedulers: {charter.terms.schedulers}")
+    if berth.peers:
+        click.echo(f"speaks to {len(berth.peers) - 1} peers, listens on {berth.peers[charter.terms.position]}")
     click.echo(f"sockets: {limits.clients} for clients, {limits.lines} for workers")
 
 
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -24,6 +24,7 @@
     Ending,
     Event,
     Follow,
+    Heard,
     Lapsed,
     Post,
     Probe,
@@ -34,6 +35,7 @@
     Standing,
     Started,
     Taken,
+    Tell,
     Turns,
     Unfollowed,
     Wake,
@@ -62,23 +64,33 @@
     Renew,
     Request,
     Rule,
+    Say,
     Settle,
     Stale,
     Told,
     Turn,
     Unheard,
     Withdraw,
+    Word,
 )
 from sableford.net.workers import Worker
 
 
 class Desk:
     def __init__(
-        self, charter: Charter, seed: str, roster: Mailbox, clock: Clock, limits: Limits, log: Log
+        self,
+        charter: Charter,
+        seed: str,
+        roster: Mailbox,
+        clock: Clock,
+        limits: Limits,
+        log: Log,
+        peers: Mailbox | None = None,
     ) -> None:
         self.mail, self.console = Mailbox(), Mailbox()
         self._charter, self._seed, self._starts = charter, seed, 0
         self._roster, self._clock, self._limits, self._log = roster, clock, limits, log
+        self._peers = peers  # none: nobody to speak to
         self._workers: dict[str, Worker] = {}
         self._tasks: set[asyncio.Task] = set()
         self._latest: dict[str, tuple] = {}  # the list as it stands, for a module that starts anew
@@ -100,6 +112,7 @@
             Turn: self._turn,
             Renew: self._renew,
             Stale: self._pass_on,
+            Word: self._overheard,
             _Died: self._mourn,
             Unheard: lambda message: self._tell(Unfollowed()),
         }
@@ -111,6 +124,7 @@
             Wake: lambda effect: heappush(self._wakes, self._now + effect.after),
             Follow: self._roster_mail,
             Probe: self._probe,
+            Tell: self._say,
         }
         self._now = self._traced = clock.now()
         self._begin()
@@ -221,7 +235,8 @@
         self._ids.add(request.id)
         self._posted[request] = []
         txn = self._door.take(request)
-        self._tell(Taken(txn, request.scheme, 0, request.expiry, request.slots, request.memory))
+        needs = request.slots, request.memory, request.work
+        self._tell(Taken(txn, request.scheme, 0, request.expiry, *needs))
 
     def _gone(self, message: Gone) -> None:
         if (txn := self._door.txn(message.request)) is not None:
@@ -256,6 +271,11 @@
         if (worker := self._door.worker(message.worker)) is not None:
             self._tell(Sampled(worker, message.answered, message.load))
 
+    def _overheard(self, message: Word) -> None:
+        # Switched off, what others still say is passed over.
+        if self._charter.terms.tells and (word := self._door.heard(message.word)) is not None:
+            self._tell(Heard(message.peer, *word))
+
     def _told(self, message: Told) -> None:
         """The list goes to the module first, so that a drain is known before the next posting."""
         sheet = message.sheet
@@ -384,6 +404,10 @@
     def _roster_mail(self, effect: Follow) -> None:
         self._roster.put(effect)
 
+    def _say(self, effect: Tell) -> None:
+        if self._peers is not None:
+            self._peers.put(Say(effect.peers, self._door.word(effect.worker, effect.slots)))
+
     def _probe(self, effect: Probe) -> None:
         self._workers[self._door.worker_ids[effect.worker]].mail.put(Look())
 
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -57,6 +57,7 @@
     call: float = 600.0  # to reach discovery, which is on this machine
     moving: float = 4000.0  # a new address of discovery may take this long to come up
     again: float = 100.0  # between two tries at a new address
+    saying: int = 256  # bytes of a message from another scheduler
     last: float = 200.0  # after a failure inside, for the answers owed to go out
     leave: float = 550.0  # after SIGTERM new connections are taken for this long: they come for up to 400
     stay: float = 2500.0  # and those that are open are served on: the others may not be back yet
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -71,7 +71,7 @@
 class Request:
     """One txn as it came. What goes on unchanged is bytes; the rest is what decisions need."""
 
-    __slots__ = ("body", "client", "expiry", "headers", "id", "memory", "method", "scheme", "slots", "target")
+    __slots__ = ("body", "client", "expiry", "headers", "id", "memory", "method", "scheme", "slots", "target", "work")
 
     def __init__(
         self, client: Mailbox, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
@@ -79,7 +79,7 @@
         self.client, self.method, self.target = client, method, target
         self.headers, self.body = headers, body
         self.id, self.scheme, self.expiry = b"", 0, 0.0
-        self.slots, self.memory = 1.0, 0.0
+        self.slots, self.memory, self.work = 1.0, 0.0, 0.0
 
 
 # To the desk: a Request, and
@@ -161,6 +161,21 @@
     limits: Limits
     discovery: tuple[str, int]
     charter: Charter
+    peers: tuple[tuple[str, int], ...] = ()  # the schedulers by position, where they may be spoken to
+
+
+class Say(NamedTuple):
+    """To the peers: some words for some schedulers."""
+
+    peers: tuple[int, ...]
+    word: bytes
+
+
+class Word(NamedTuple):
+    """To the desk: what another scheduler said."""
+
+    peer: int
+    word: bytes
 
 
 # To the handover
