--- a/sableford/intake/door.py
+++ b/sableford/intake/door.py
@@ -9,7 +9,6 @@
 
 from sableford.model import Listed, Roster, Standing
 
-
 MARK = 0xFFFF  # of a mark, what is said of it in a message: some hundred workers are told apart
 _WORD = Struct("<HB")
 
--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -36,7 +36,7 @@
 DRAW_LEAST = 8.0  # workers: enough of each kind, and that a third of them full or ill leaves a choice
 WIDEN = 3  # strangers looked at when the draw has no room; the next look takes others
 NEAR = 0.5  # of the draw from the own zone first, where crossing has a price; the rest evens out the zones
-LISTENERS = 16.0  # schedulers told of a worker: each message costs all of them CPU, and fewer leave small draws
+LISTENERS = 16.0  # schedulers told of a worker: a message costs each CPU, and with fewer draws are small
 TAKERS = 8  # schedulers that send to a cold worker, told of it; with more most turns came where no txn was
 FREELY = 0.75  # of its slots: filled so far by known txns a worker is no slower, so that the fastest go first
 TOLD_LIFE = 8.0  # mean runs: what a scheduler said longer ago is over; it may have been killed since
@@ -96,7 +96,7 @@
 State = IntEnum("State", "HELD OUT OVER")
 Input = IntEnum("Input", "ROOM LATE STALLED NEVER_RAN MAY_HAVE_RUN SETTLED LAPSED")
 Again = IntEnum("Again", "ANYWHERE IN_GROUP NOWHERE")
-Rank = IntEnum("Rank", "SHARE BEYOND TARDY", start=0)  # within its tenant's share, beyond it, past the SLA time
+Rank = IntEnum("Rank", "SHARE BEYOND TARDY", start=0)  # of a tenant's share, beyond it, past the SLA time
 
 # (scheme's repeats, may an earlier posting have run) -> where it may go again, may it be declined
 PERMITS = {
@@ -134,7 +134,7 @@
         self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
         self.turn, self.debt = -1, 0.0
         self.sends: deque[tuple[float, float]] = deque()  # while cold: when, and the cost in mean txns
-        self.told: dict[int, tuple[float, float]] = {}  # by scheduler: its slots out here, and when it said so
+        self.told: dict[int, tuple[float, float]] = {}  # by scheduler: its slots here, and since when
         self.theirs = 0.0  # their sum
 
     def shown_at(self, when: float) -> float:
@@ -150,12 +150,12 @@
 
     def __init__(self, index: int, runs: list["Run"]) -> None:
         self.index, self.runs = index, runs
-        self.slots, self.size = 0.0, 0.0
+        self.slots, self.size, self.rated = 0.0, 0.0, 1.0
         self.held, self.heard, self.heard_at, self.usual = 0.0, 0.0, 0.0, 0.0
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
 
     def pace(self) -> float:
-        return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
+        return (self.done + RUN_WEIGHT * self.rated) / (self.due + RUN_WEIGHT)
 
     def others(self, now: float) -> float:
         """Mean slots taken by others at a worker of this kind, by reports; it must have been heard of."""
@@ -459,7 +459,7 @@
                 self._step(now, index, Input.ROOM)
 
     def _earns(self, lane: "Lane") -> float:
-        """Earnings for each running millisecond; beyond a tenant's share and past the SLA time they shrink."""
+        """Earnings for each running millisecond; they shrink beyond a tenant's share and past the SLA time."""
         scheme = self.terms.schemes[lane.scheme]
         part = (1.0, self.terms.tariff.overage, scheme.tardy)[lane.rank]
         return scheme.earnings * part / (1.0 if self.terms.by_work else lane.run.mean())
@@ -511,7 +511,8 @@
             # While nothing is heard all schedulers see the same empty fleet, and filled it many times over.
             alike = self.out * (self.terms.schedulers - 1) / max(1, len(self.open))
             return worker.own + max(usual, min(alike, 0.5 * max(worker.kind.slots, UNHEARD_SLOTS)))
-        return worker.own + worker.theirs + usual + (worker.others - usual) * exp((worker.true_at - now) / self.drift)
+        known = worker.own + worker.theirs
+        return known + usual + (worker.others - usual) * exp((worker.true_at - now) / self.drift)
 
     def _usual(self, now: float) -> None:
         """What is assumed of the others at each kind, and how fast copies drift to it."""
@@ -616,7 +617,7 @@
     # What schedulers tell each other
 
     def _party(self, mark: int, size: float) -> tuple[int, ...]:
-        """The schedulers that look after a worker, by its mark: known to all alike, nobody has to be asked."""
+        """The schedulers that look after a worker, by its mark: known to all, nobody has to be asked."""
         if (party := self.parties.get((mark, int(size)))) is not None:
             return party
         schedulers, chance = self.terms.schedulers, crc32(b"%d" % mark) * MIX % 2**32
@@ -957,8 +958,9 @@
         if load == worker.figures or len(load) <= max(terms.free_slots, terms.handled, terms.waiting):
             return
         worker.figures = load
-        if terms.free_slots >= 0:
-            kind.slots = max(kind.slots, float(round(load[terms.free_slots])))
+        if terms.free_slots >= 0 and (slots := float(round(load[terms.free_slots]))) > kind.slots:
+            kind.slots = slots
+            self._rate()
         if terms.handled >= 0:
             self._renew(worker, load[terms.handled], now)
         elif terms.free_slots >= 0:
@@ -1086,6 +1088,8 @@
             self.follow_at = now + self.terms.ask_within * part * bool(self.listed or event.lines) + 1.0
         for line in event.lines:
             self._list(line, now)
+            if self.terms.sizes and (rating := event.rating(line.worker)) > 0.0:
+                self.kinds[line.kind].size = rating
         if event.lines:
             self._sort(now)
         for worker in self.drawn if self.terms.live else ():
@@ -1130,8 +1134,16 @@
             if line.worker not in self.cold:
                 self._warm(line)
         self.crowd = max(1.0, self.terms.schedulers / max(1, len(ready)))
+        self._rate()
         self._redraw(now)
 
+    def _rate(self) -> None:
+        """Where ratings are nominal sizes they tell a kind's pace before any finish does."""
+        sized = [kind for kind in self.kinds.values() if self.terms.sizes and kind.size and kind.slots]
+        mean = sum(kind.size / kind.slots for kind in sized) / max(1, len(sized))
+        for kind in sized:
+            kind.rated = kind.size / kind.slots / mean
+
     def _weigh(self, worker: Worker, rating: float, now: float) -> None:
         """A live rating is a report too: its kind's size over one more than the jobs held per slot."""
         kind = worker.kind
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -157,7 +157,9 @@
         click.echo(f"operators call {berth.console[0]}:{berth.console[1]}")
     click.echo(f"schemes: {', '.join(charter.schemes)}; schedulers: {charter.terms.schedulers}")
     if berth.peers:
-        click.echo(f"speaks to {len(berth.peers) - 1} peers, listens on {berth.peers[charter.terms.position]}")
+        click.echo(
+            f"speaks to {len(berth.peers) - 1} peers, listens on {berth.peers[charter.terms.position]}"
+        )
     click.echo(f"sockets: {limits.clients} for clients, {limits.lines} for workers")
 
 
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -71,7 +71,19 @@
 class Request:
     """One txn as it came. What goes on unchanged is bytes; the rest is what decisions need."""
 
-    __slots__ = ("body", "client", "expiry", "headers", "id", "memory", "method", "scheme", "slots", "target", "work")
+    __slots__ = (
+        "body",
+        "client",
+        "expiry",
+        "headers",
+        "id",
+        "memory",
+        "method",
+        "scheme",
+        "slots",
+        "target",
+        "work",
+    )
 
     def __init__(
         self, client: Mailbox, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes
--- a/tests/command.py
+++ b/tests/command.py
@@ -21,11 +21,11 @@
 }
 
 
-def told(command: str, **changed: object) -> Result:
+def told(command: str, *flags: str, **changed: object) -> Result:
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         json.dump({key: value for key, value in (BERTH | changed).items() if value is not None}, file)
         file.flush()
-        return CliRunner().invoke(main, [command, "--config", file.name])
+        return CliRunner().invoke(main, [command, *flags, "--config", file.name])
 
 
 def refuses(result: Result, *words: str) -> None:
@@ -54,3 +54,22 @@
         taken.listen()
         place = f"127.0.7.9:{taken.getsockname()[1]}"
         refuses(told("serve", listen=place), place)
+
+
+def shows_peers_are_spoken_to_only_where_file_and_command_line_say_so() -> None:
+    allowed = PROFILE | {"instances": 2, "limits": PROFILE["limits"] | {"peers": True}}
+    two = ["127.0.7.9:1", "127.0.7.9:2"]
+    assert "peers" not in told("check", settings=allowed, peers=two).output
+    spoken = told("check", "--talk", settings=allowed, peers=two)
+    assert "speaks to 1 peers" in spoken.output, spoken.output
+    assert "peers" not in told("check", "--talk", settings=allowed).output
+    refuses(told("check", settings=allowed, peers=two[:1]), "peers", "1 addresses for 2 instances")
+    refuses(told("check", settings=allowed, peers=two[:1] * 2), "peers", "an address twice")
+    refuses(told("check", settings=allowed, peers=["a", "b"]), "peers", "'a' is not an address")
+
+
+def shows_settings_of_the_move_are_checked() -> None:
+    refuses(told("check", settings=PROFILE | {"earnings_by": "hour"}), "earnings_by", "'hour'")
+    refuses(told("check", settings=PROFILE | {"weights": "heavy"}), "weights", "'heavy'")
+    schemes = [PROFILE["schemes"][0] | {"tardy_earnings": 1.5}]
+    refuses(told("check", settings=PROFILE | {"schemes": schemes}), "schemes[0].tardy_earnings")
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -9,9 +9,10 @@
     5 take t1-t9 book expiry=900 account=1 slots=2    txns coming in; expiry counts from now
     7 ban A | back A                                  operators take it out by hand, call it back
     8 amend postings=1; quote once-only; fresh repeatable   other terms; schemes changed or added
+    8 hear 3 A 2                      scheduler 3 has two slots out at A
     8 yield | resume                                  another process takes the cold turns, or this one again
     9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
-    effects: post t1 A | off t1.0 | decline t1 | reverse t1 | probe A | follow | ask (once)
+    effects: tell 2 A 1 (two are told of one slot) | post t1 A | off t1.0 | decline t1 | reverse t1 | probe A | follow | ask (once)
 
 On sockets (`tests/sockets/`) a scheduler runs on loopback among stubs. Steps have no times: each acts at
 once, and a claim waits for what it names: with a count of 0 a moment for it not to come, after `now` not at
@@ -26,7 +27,9 @@
     call c POST /workers/A/maint | whisper c BYTES     to the console, which `terms door=1` opens
     raw c BYTES | hangup c | sigterm | reload [torn] KEY=VALUE | fail | files 1 | wait 20
     drip                              from now on all that stubs and clients say comes byte by byte
-    told: at A t1 LINE BODY | closed A t1 | answer t1 200 BODY | closed c | watch 3 | whole | log EVENT
+    speak p1 A 3                      another scheduler says what it has at A (`terms peers=2` has p1)
+    told: word p1 A 1 (it was told) | at A t1 LINE BODY | closed A t1
+    answer t1 200 BODY | closed c | watch 3 | whole | log EVENT
     called c 200 TEXT | hushed c (no answer) | ends 0 | probe A | copy t1 (two at once at workers)
 """
 
@@ -37,6 +40,7 @@
 import resource
 import signal
 import socket
+import struct
 import tempfile
 from collections.abc import Iterable
 from contextlib import suppress
@@ -44,7 +48,9 @@
 from functools import partial
 from heapq import heappop, heappush
 from pathlib import Path
+from zlib import crc32
 
+from sableford.intake.door import MARK
 from sableford.logic import Scheduler
 from sableford.model import (
     Account,
@@ -56,6 +62,7 @@
     Ended,
     Ending,
     Follow,
+    Heard,
     Lapsed,
     Listed,
     Post,
@@ -71,6 +78,7 @@
     Started,
     Taken,
     Tariff,
+    Tell,
     Terms,
     Turns,
     Unfollowed,
@@ -146,6 +154,9 @@
             handled=-1,
             free_slots=int(told["free"]),
             free_memory=-1,
+            tells=bool(told.get("peers", 0)),
+            by_work=bool(told.get("work", 0)),
+            sizes=bool(told.get("sizes", 0)),
         )
 
     def index(self, sort: str, name: str) -> int:
@@ -170,6 +181,7 @@
             int(facts.get("cell", 0)),
             standing,
             since,
+            self.index("worker", name) + 1,
         )
 
     def events(self, now: float, verb: str, rest: list[str]):
@@ -186,7 +198,9 @@
             for name in spread(rest[0]):
                 txn = self.index("txn", name)
                 account, slots = int(facts.get("account", 0)), facts.get("slots", 1.0)
-                yield Taken(txn, scheme, account, expiry, slots, 0.0)
+                yield Taken(txn, scheme, account, expiry, slots, 0.0, facts.get("work", 0.0))
+        elif verb == "hear":
+            yield Heard(int(rest[0]), self.index("worker", rest[1]), float(rest[2]))
         elif verb == "start":
             yield from (Started(*self.posting(name)) for name in rest)
         elif verb == "move":
@@ -244,6 +258,8 @@
                     self.told.append("ask" if once else "follow")
                 case Probe(worker):
                     self.told.append(f"probe {workers[worker]}")
+                case Tell(peers, worker, slots):
+                    self.told.append(f"tell {len(peers)} {workers[worker]} {slots:g}")
 
     def claim(self, text: str) -> None:
         pattern, least, most = bounds(text)
@@ -304,7 +320,8 @@
     def __init__(self) -> None:
         self.told: list[str] = []
         self.terms = options(
-            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2 ask=0 door=0".split()
+            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2 ask=0".split()
+            + ["door=0", "peers=1"]
         )
         self.schemes: list[dict] = []
         self.limits: dict[str, float] = {}
@@ -324,6 +341,7 @@
         self.running: asyncio.Task | None = None
         self.place, self.door, self.berth, self.agents = "", "", {}, []
         self.callers: dict[str, asyncio.StreamWriter] = {}
+        self.peers: list[socket.socket] = []  # of the other schedulers, from position 1 on
         self.folder = tempfile.TemporaryDirectory()
         self.file = Path(self.folder.name, "berth.json")
         self.taken: list[int] = []
@@ -347,9 +365,10 @@
             self.place, self.door = ("{}:{}".format(*one.getsockname()) for one in (free, other))
         told = self.terms
         settings = {
-            "instances": 1,
+            "instances": int(told["peers"]),
             "schemes": self.schemes,
             "limits": {
+                "peers": False,
                 "most_postings": int(told["postings"]),
                 "may_cancel": True,
                 "probes": bool(told["probes"]),
@@ -386,13 +405,38 @@
         }
         if told["door"]:
             self.berth["console"] = self.door
+        if told["peers"] > 1:
+            self.berth["peers"] = [self.place, *map(self.peer, range(1, int(told["peers"])))]
         self.file.write_text(json.dumps(self.berth))
-        read = read_berth(str(self.file))
+        read = read_berth(str(self.file), talk=True)
         read = read._replace(limits=read.limits._replace(**self.limits))
-        self.running = asyncio.create_task(run(read, str(self.file), Log("n0", sink=self)))
+        self.running = asyncio.create_task(run(read, str(self.file), Log("n0", sink=self), talk=True))
         self.running.add_done_callback(lambda task: self.told.append(f"ends {task.result()}"))
         await self.until("watch *")
 
+    def peer(self, number: int) -> str:
+        """The stand-in of another scheduler: it writes down what it is told."""
+        line = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        line.bind(("127.0.7.3", 0))
+        line.setblocking(False)
+        self.peers.append(line)
+        marks = {crc32(name.encode()) & MARK: name for name in self.listed}
+
+        def hear() -> None:
+            mark, slots = struct.unpack("<HB", line.recv(300))
+            self.told.append(f"word p{number} {marks.get(mark, '?')} {slots}")
+
+        asyncio.get_running_loop().add_reader(line, hear)
+        return "{}:{}".format(*line.getsockname())
+
+    async def do_speak(self, peer: str, *rest: str) -> None:
+        line = self.peers[int(peer[1:]) - 1]
+        word = (
+            struct.pack("<HB", crc32(rest[0].encode()) & MARK, int(rest[1])) if rest[1:] else rest[0].encode()
+        )
+        host, _, port = self.place.rpartition(":")
+        line.sendto(word, (host, int(port)))
+
     async def agent(self) -> str:
         """Another discovery with the same list; where it listens."""
         self.agents.append(await asyncio.start_server(self.discovery, "127.0.7.1", 0))
@@ -708,6 +752,9 @@
                 raise AssertionError(f"line {number}: {type(problem).__name__}: {problem}") from problem
     finally:
         await scene.do_files("all")
+        for line in scene.peers:
+            asyncio.get_running_loop().remove_reader(line)
+            line.close()
         scene.folder.cleanup()
 
 
