--- a/sableford/intake/charter.py
+++ b/sableford/intake/charter.py
@@ -113,6 +113,8 @@
     for field in ("sla_time_s", "expiry_s"):
         if not 0.0 < getattr(given, field) < float("inf"):
             raise ValueError(f"schemes[{at}].{field}: not a positive number")
+    if _nth(facts.class_kind, at, -1) != -1:
+        raise ValueError(f"specifics.class_kind[{at}]: schemes bound to one kind of worker are not served")
     if not 0.0 <= given.tardy_earnings <= 1.0:
         raise ValueError(f"schemes[{at}].tardy_earnings: not a part of the earnings")
     if not isfinite(given.earnings) or not isfinite(given.memory_span_s):
@@ -126,7 +128,6 @@
         stretch=stretch,
         expiry=given.expiry_s * 1000.0,
         earnings=given.earnings,
-        kind=_nth(facts.class_kind, at, -1),
         tardy=given.tardy_earnings,
     )
 
@@ -171,16 +172,14 @@
         ),
         tells_start=facts.tells_start,
         progress=facts.progress_s * 1000.0,
-        live=profile.weights == "live",
+        live=_word("weights", profile.weights, ("off", "nominal", "rough", "live")) == "live",
         follows=profile.registry_mode == "subscribe",
         ask_within=owed.ask_within_s * 1000.0 if profile.registry_mode == "subscribe" else 0.0,
         waiting=places.get("depth", -1),
         handled=places.get("concurrent", -1),
         free_slots=meanings.get("free slots", -1),
-        free_memory=meanings.get("free memory", -1),
         tells=limits.peers and profile.instances > 1,
         by_work=_word("earnings_by", profile.earnings_by, ("request", "work")) == "work",
-        sizes=_word("weights", profile.weights, ("off", "nominal", "rough", "live")) == "nominal",
     )
     return Charter(
         terms,
@@ -212,9 +211,7 @@
     def scheme(at: int, name: str) -> Scheme:
         if name not in new.schemes:
             return now.terms.schemes[at]
-        given = new.terms.schemes[new.schemes.index(name)]
-        known = 0 <= given.kind < len(new.kinds)
-        return given._replace(kind=kinds.index(new.kinds[given.kind])) if known else given
+        return new.terms.schemes[new.schemes.index(name)]
 
     zone = new.terms.zone
     terms = new.terms._replace(
--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -4,7 +4,6 @@
 """
 
 from bisect import insort
-from collections import deque
 from collections.abc import Iterator
 from enum import IntEnum
 from heapq import heappop, heappush
@@ -15,6 +14,7 @@
 from sableford.model import Banned, Repeats, Scheme, Scope, Terms, events
 from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Tell, Wake
 from sableford.model.events import NEVER_RAN, Ended, Ending, Event, Listed, Roster, Standing, Started, Taken
+from sableford.model.state import Lane, Posting, State, Txn, Worker
 
 MIX = 2_654_435_761  # spreads a checksum's bits: the golden part of 2**32
 
@@ -30,10 +30,9 @@
 LAG_MEMORY = 10_000.0  # ms: decay of the lags' misfit; a few reports of each worker
 LAG_GAIN = 0.85  # of the present lag's misfit: less than this is a finding, more is chance
 HISTORY = 6000.0  # ms of own counts kept: past the longest lag and one report period
-PAST_MOST = 2000  # changes kept of one worker: where nothing is reported they are never read
 CROSSING_STEP = 0.25  # jobs added to a worker in another zone where crossing has a price
 WATCHERS = 6.0  # schedulers to a worker: with more, others move its copies faster than answers renew them
-DRAW_LEAST = 8.0  # workers: enough of each kind, and that a third of them full or ill leaves a choice
+DRAW_LEAST = 8.0  # workers: enough that a third of them full or ill leaves a choice
 WIDEN = 3  # strangers looked at when the draw has no room; the next look takes others
 NEAR = 0.5  # of the draw from the own zone first, where crossing has a price; the rest evens out the zones
 LISTENERS = 16.0  # schedulers told of a worker: a message costs each CPU, and with fewer draws are small
@@ -93,7 +92,6 @@
 
 
 NOTHING = (0.0, 0.0)  # told so far
-State = IntEnum("State", "HELD OUT OVER")
 Input = IntEnum("Input", "ROOM LATE STALLED NEVER_RAN MAY_HAVE_RUN SETTLED LAPSED")
 Again = IntEnum("Again", "ANYWHERE IN_GROUP NOWHERE")
 Rank = IntEnum("Rank", "SHARE BEYOND TARDY", start=0)  # of a tenant's share, beyond it, past the SLA time
@@ -109,53 +107,17 @@
 }
 
 
-class Worker:
-    """One listed worker: its copy, its own postings, what was measured of it."""
-
-    def __init__(self, index: int, line: Listed, kind: "Kind") -> None:
-        self.index, self.zone, self.cell, self.kind = index, line.zone, line.cell, kind
-        self.ready, self.since, self.drawn = line.standing is Standing.READY, line.since, False
-        self.mark, self.listeners = line.mark, ()
-        self.postings: dict[tuple[int, int], Posting] = {}
-        self.own = self.shown = 0.0
-        self.sent_at = 0.0  # the last posting
-        self.past: deque[tuple[float, float]] = deque(maxlen=PAST_MOST)
-        self.running = [0] * len(kind.runs)
-        self.forget()
-
-    def forget(self) -> None:
-        """A fresh process: nothing measured of the old one holds."""
-        self.figures: tuple[float, ...] = ()
-        self.reported = -1.0
-        self.others, self.true_at = -1.0, 0.0
-        self.done, self.due, self.pace, self.touched = 0.0, 0.0, 1.0, 0.0
-        self.faults, self.sound, self.judged, self.heard = 0.0, 0.0, 0.0, 0.0
-        self.waits = self.still = False
-        self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
-        self.turn, self.debt = -1, 0.0
-        self.sends: deque[tuple[float, float]] = deque()  # while cold: when, and the cost in mean txns
-        self.told: dict[int, tuple[float, float]] = {}  # by scheduler: its slots here, and since when
-        self.theirs = 0.0  # their sum
-
-    def shown_at(self, when: float) -> float:
-        """Slots of own postings that a report true at that time counts."""
-        for at, shown in reversed(self.past):
-            if at <= when:
-                return shown
-        return 0.0
-
-
 class Kind:
     """Workers built alike: their slots, and their pace against the fleet."""
 
     def __init__(self, index: int, runs: list["Run"]) -> None:
         self.index, self.runs = index, runs
-        self.slots, self.size, self.rated = 0.0, 0.0, 1.0
+        self.slots, self.size = 0.0, 0.0
         self.held, self.heard, self.heard_at, self.usual = 0.0, 0.0, 0.0, 0.0
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
 
     def pace(self) -> float:
-        return (self.done + RUN_WEIGHT * self.rated) / (self.due + RUN_WEIGHT)
+        return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
 
     def others(self, now: float) -> float:
         """Mean slots taken by others at a worker of this kind, by reports; it must have been heard of."""
@@ -175,40 +137,6 @@
         return (self.spent + RUN_WEIGHT * self.prior) / (self.done + RUN_WEIGHT)
 
 
-class Lane:
-    """Held txns of one scheme and rank, the next one's limit first, and how many went out lately."""
-
-    def __init__(self, scheme: int, rank: int, run: Run) -> None:
-        self.scheme, self.rank, self.run = scheme, rank, run
-        self.queue: list[tuple[float, int]] = []
-        self.flow, self.flow_at = 0.0, 0.0
-
-
-class Posting:
-    __slots__ = ("called_off", "mute", "need", "news", "scheme", "sent", "started", "worker")
-
-    def __init__(self, worker: Worker, scheme: int, need: float, now: float) -> None:
-        self.worker, self.scheme, self.need = worker, scheme, need
-        self.sent, self.news = now, now
-        self.started = self.called_off = self.mute = False
-
-    def waited(self, now: float) -> bool:
-        """Whether it has not begun within a round trip."""
-        return not self.started and now - self.sent > START_WAIT
-
-
-class Txn:
-    def __init__(self, taken: Taken, terms: Terms, limit: float, rank: int) -> None:
-        self.taken, self.limit, self.rank = taken, limit, rank
-        # The terms it came under: read by its index later, a changed file made it another scheme's.
-        self.scheme, self.postings = terms.schemes[taken.scheme], terms.tariff.postings
-        self.hopeless, self.moved = taken.expiry, False
-        self.state, self.posted = State.HELD, 0
-        self.out: dict[int, Posting] = {}
-        self.origin: Posting | None = None  # the first posting that may have run
-        self.avoid: Worker | None = None
-
-
 class Scheduler:
     def __init__(self, terms: Terms, seed: int) -> None:
         self.terms, self.seed, self.draws = terms, seed, 0
@@ -262,7 +190,6 @@
         terms = self.terms
         # Where no figure counts the waiting line, own postings in it hid the others' running ones.
         self.line_shown = terms.waiting >= 0 or terms.handled >= 0 or not terms.tells_start
-        self.needs = sorted({scheme.kind for scheme in terms.schemes})
         # Of the schedulers that may send to one cold worker.
         self.takers = min(TAKERS, terms.schedulers) if terms.tells else terms.schedulers
 
@@ -404,7 +331,7 @@
         self.tokens[account] = spare - (spare >= 1.0)
         return spare < 1.0
 
-    def _wait_ahead(self, now: float, lane: "Lane") -> float:
+    def _wait_ahead(self, now: float, lane: Lane) -> float:
         """How long what the lane holds takes to go out, by its recent flow."""
         # The first in line goes once there is room; one held txn made small schedulers decline the rest.
         flow = lane.flow * exp((lane.flow_at - now) / FLOW_MEMORY)
@@ -431,7 +358,7 @@
                 else:
                     self._step(now, index, Input.LATE)
 
-    def _lane(self, txn: Txn) -> "Lane":
+    def _lane(self, txn: Txn) -> Lane:
         return self.lanes[txn.rank][txn.taken.scheme]
 
     def _pump(self, now: float) -> None:
@@ -439,14 +366,13 @@
         self._expire(now)
         if not self.held:
             return
-        full: set[tuple[int, bool, float]] = set()
+        full: set[tuple[bool, float]] = set()
         for lane in sorted((lane for both in self.lanes for lane in both), key=self._earns, reverse=True):
             while lane.queue:
                 _, index = lane.queue[0]
                 txn = self.txns[index]
-                scheme = txn.scheme
                 # Asked for each lane anew, full workers cost nine looks at the draw for each finish told.
-                like = (scheme.kind, scheme.repeats is Repeats.ONCE_ONLY, self._need(txn))
+                like = (txn.scheme.repeats is Repeats.ONCE_ONLY, self._need(txn))
                 if not txn.posted and like in full:
                     break
                 if (worker := self._choose(now, txn)) is None:
@@ -458,7 +384,7 @@
                 self.chosen = worker
                 self._step(now, index, Input.ROOM)
 
-    def _earns(self, lane: "Lane") -> float:
+    def _earns(self, lane: Lane) -> float:
         """Earnings for each running millisecond; they shrink beyond a tenant's share and past the SLA time."""
         scheme = self.terms.schemes[lane.scheme]
         part = (1.0, self.terms.tariff.overage, scheme.tardy)[lane.rank]
@@ -491,7 +417,7 @@
         self.effects.append(Post(index, worker.index, txn.taken.expiry))
 
     def _need(self, txn: Txn) -> float:
-        return max(1.0, txn.taken.slots, txn.taken.memory if self.terms.free_memory >= 0 else 0.0)
+        return max(1.0, txn.taken.slots)
 
     def _show(self, worker: Worker, slots: float, now: float) -> None:
         worker.shown = max(0.0, worker.shown + slots)
@@ -594,7 +520,7 @@
 
     # The draw: the few workers whose copies this scheduler can keep
 
-    def _strangers(self, pool: list[int], kind: int) -> Iterator[Worker]:
+    def _strangers(self, pool: list[int]) -> Iterator[Worker]:
         """Warm workers outside the draw, from a random one on."""
         if len(self.drawn) >= len(self.open) or not pool:
             return
@@ -602,7 +528,7 @@
         for at in range(len(pool)):
             index = pool[(start + at) % len(pool)]
             worker, line = self.workers.get(index), self.listed[index]
-            if kind in (-1, line.kind) and not (worker and worker.drawn):
+            if not (worker and worker.drawn):
                 yield worker or self._meet(line)
 
     def _meet(self, line: Listed) -> Worker:
@@ -666,20 +592,17 @@
         return max(DRAW_LEAST, WATCHERS * len(self.open) / self.terms.schedulers)
 
     def _redraw(self, now: float) -> None:
-        """Fill the draw up: enough of each kind that some scheme needs, from the own zone first."""
+        """Fill the draw up, from the own zone first."""
         if self.terms.tells:
             return self._enlist()
         self._drop_drawn([worker for worker in self.drawn if not worker.ready or worker.index in self.cold])
         most = self._most()
-        for need in self.needs:
-            fit = [worker for worker in self.drawn if need in (-1, worker.kind.index)]
-            count, own = len(fit), sum(worker.zone == self.terms.zone for worker in fit)
-            for pool, least in ((self.near, NEAR * most - own), (self.open, most)):
-                strangers = self._strangers(pool, need)
-                while count < most and least > 0.0 and (worker := next(strangers, None)):
-                    worker.drawn = True
-                    self.drawn.append(worker)
-                    count, least = count + 1, least - 1.0
+        own = sum(worker.zone == self.terms.zone for worker in self.drawn)
+        for pool, least in ((self.near, NEAR * most - own), (self.open, most)):
+            strangers = self._strangers(pool)
+            while len(self.drawn) < most and least > 0.0 and (worker := next(strangers, None)):
+                worker.drawn, least = True, least - 1.0
+                self.drawn.append(worker)
 
     def _enlist(self) -> None:
         """Where schedulers speak to each other the draw is who this one hears about."""
@@ -717,6 +640,8 @@
                 if len(self.drawn) > self._chance(len(self.open)):
                     self._draw(self.workers.get(index) or self._meet(self.listed[index]))
         if self.terms.tells:
+            for worker in self.drawn:
+                self._outdate(worker, now)
             return
         if len(self.drawn) < min(len(self.open), self._most()):
             self._redraw(now)
@@ -732,8 +657,7 @@
 
     def _widen(self, now: float, txn: Txn, size: float) -> Worker | None:
         """With no room in the draw, a stranger that should have some takes the txn and one place."""
-        kind = txn.scheme.kind
-        for worker in islice(self._strangers(self.open, kind), WIDEN):
+        for worker in islice(self._strangers(self.open), WIDEN):
             if worker.waits or worker.pace < SLOW or not self._sound(worker, txn):
                 continue
             if self._allowed(worker, now, txn) and self._index(worker, now, self._need(txn), size)[1]:
@@ -756,7 +680,7 @@
     def _allowed(self, worker: Worker, now: float, txn: Txn) -> bool:
         """What the rules and the wire forbid, whatever else is at hand."""
         scheme = txn.scheme
-        if not worker.ready or now < worker.rest_until or scheme.kind not in (-1, worker.kind.index):
+        if not worker.ready or now < worker.rest_until:
             return False
         if txn.origin is not None and scheme.repeats is Repeats.REFERENCED:
             first = txn.origin
@@ -927,7 +851,7 @@
         elif ending is Ending.ERROR or ending is Ending.BROKEN:
             worker.faults += 1.0
         # A hung worker with nothing left out looked idle, and was sent the next txn at once.
-        elif ending is Ending.NO_CONNECTION or (ending is Ending.CALLED_OFF and posting.waited(now)):
+        elif ending is Ending.NO_CONNECTION or (ending is Ending.CALLED_OFF and self._waited(posting, now)):
             worker.rest_until = now + min(SHUN_MOST, SHUN * 2.0**worker.misses)
             worker.misses = min(worker.misses + 1, 8)
         elif ending is Ending.FULL:
@@ -958,9 +882,8 @@
         if load == worker.figures or len(load) <= max(terms.free_slots, terms.handled, terms.waiting):
             return
         worker.figures = load
-        if terms.free_slots >= 0 and (slots := float(round(load[terms.free_slots]))) > kind.slots:
-            kind.slots = slots
-            self._rate()
+        if terms.free_slots >= 0:
+            kind.slots = max(kind.slots, float(round(load[terms.free_slots])))
         if terms.handled >= 0:
             self._renew(worker, load[terms.handled], now)
         elif terms.free_slots >= 0:
@@ -1011,9 +934,15 @@
 
     # Looking after what is out
 
+    def _waited(self, posting: Posting, now: float) -> bool:
+        """Whether it has not begun within a round trip."""
+        return not posting.started and now - posting.sent > START_WAIT
+
     def _look(self, worker: Worker, now: float) -> None:
         """An own posting that has not begun within a round trip waits in line: that worker has no room."""
-        worker.waits = self.terms.tells_start and any(one.waited(now) for one in worker.postings.values())
+        worker.waits = self.terms.tells_start and any(
+            self._waited(one, now) for one in worker.postings.values()
+        )
 
     def _patrol(self, now: float, event: events.Woken) -> None:
         if self.follow_at and now >= self.follow_at:
@@ -1052,7 +981,7 @@
             scheme = txn.scheme
             # What stands in the line of one taken out by hand is lost at its restart, moves in vain or not.
             stuck = worker.index in self.bans and self.bans[worker.index].out
-            idle = posting.mute if posting.started else stuck or (not vain and posting.waited(now))
+            idle = posting.mute if posting.started else stuck or (not vain and self._waited(posting, now))
             # Where a call-off drops nothing, each txn moved out of a line ran twice, and lines grew by it.
             idle = idle and (not self.terms.tells or stuck or now - posting.news > HUNG * self.mean_run)
             left = txn.postings - (not posting.started) - txn.posted
@@ -1088,8 +1017,6 @@
             self.follow_at = now + self.terms.ask_within * part * bool(self.listed or event.lines) + 1.0
         for line in event.lines:
             self._list(line, now)
-            if self.terms.sizes and (rating := event.rating(line.worker)) > 0.0:
-                self.kinds[line.kind].size = rating
         if event.lines:
             self._sort(now)
         for worker in self.drawn if self.terms.live else ():
@@ -1134,16 +1061,8 @@
             if line.worker not in self.cold:
                 self._warm(line)
         self.crowd = max(1.0, self.terms.schedulers / max(1, len(ready)))
-        self._rate()
         self._redraw(now)
 
-    def _rate(self) -> None:
-        """Where ratings are nominal sizes they tell a kind's pace before any finish does."""
-        sized = [kind for kind in self.kinds.values() if self.terms.sizes and kind.size and kind.slots]
-        mean = sum(kind.size / kind.slots for kind in sized) / max(1, len(sized))
-        for kind in sized:
-            kind.rated = kind.size / kind.slots / mean
-
     def _weigh(self, worker: Worker, rating: float, now: float) -> None:
         """A live rating is a report too: its kind's size over one more than the jobs held per slot."""
         kind = worker.kind
--- /dev/null
+++ b/sableford/model/state.py
@@ -0,0 +1,77 @@
+"""What the core holds of a worker, a posting, a txn and a lane of held ones: types, no decisions."""
+
+from collections import deque
+from enum import IntEnum
+from typing import Any
+
+from sableford.model.events import Listed, Standing, Taken
+from sableford.model.terms import Terms
+
+PAST_MOST = 2000  # changes kept of one worker: where nothing is reported they are never read
+State = IntEnum("State", "HELD OUT OVER")
+
+
+class Worker:
+    """One listed worker: its copy, its own postings, what was measured of it."""
+
+    def __init__(self, index: int, line: Listed, kind: Any) -> None:
+        self.index, self.zone, self.cell, self.kind = index, line.zone, line.cell, kind
+        self.ready, self.since, self.drawn = line.standing is Standing.READY, line.since, False
+        self.mark, self.listeners = line.mark, ()
+        self.postings: dict[tuple[int, int], Posting] = {}
+        self.own = self.shown = 0.0
+        self.sent_at = 0.0  # the last posting
+        self.past: deque[tuple[float, float]] = deque(maxlen=PAST_MOST)
+        self.running = [0] * len(kind.runs)
+        self.forget()
+
+    def forget(self) -> None:
+        """A fresh process: nothing measured of the old one holds."""
+        self.figures: tuple[float, ...] = ()
+        self.reported = -1.0
+        self.others, self.true_at = -1.0, 0.0
+        self.done, self.due, self.pace, self.touched = 0.0, 0.0, 1.0, 0.0
+        self.faults, self.sound, self.judged, self.heard = 0.0, 0.0, 0.0, 0.0
+        self.waits = self.still = False
+        self.rest_until, self.misses, self.probed = 0.0, 0, -1e12
+        self.turn, self.debt = -1, 0.0
+        self.sends: deque[tuple[float, float]] = deque()  # while cold: when, and the cost in mean txns
+        self.told: dict[int, tuple[float, float]] = {}  # by scheduler: its slots here, and since when
+        self.theirs = 0.0  # their sum
+
+    def shown_at(self, when: float) -> float:
+        """Slots of own postings that a report true at that time counts."""
+        for at, shown in reversed(self.past):
+            if at <= when:
+                return shown
+        return 0.0
+
+
+class Lane:
+    """Held txns of one scheme and rank, the next one's limit first, and how many went out lately."""
+
+    def __init__(self, scheme: int, rank: int, run: Any) -> None:
+        self.scheme, self.rank, self.run = scheme, rank, run
+        self.queue: list[tuple[float, int]] = []
+        self.flow, self.flow_at = 0.0, 0.0
+
+
+class Posting:
+    __slots__ = ("called_off", "mute", "need", "news", "scheme", "sent", "started", "worker")
+
+    def __init__(self, worker: Worker, scheme: int, need: float, now: float) -> None:
+        self.worker, self.scheme, self.need = worker, scheme, need
+        self.sent, self.news = now, now
+        self.started = self.called_off = self.mute = False
+
+
+class Txn:
+    def __init__(self, taken: Taken, terms: Terms, limit: float, rank: int) -> None:
+        self.taken, self.limit, self.rank = taken, limit, rank
+        # The terms it came under: read by its index later, a changed file made it another scheme's.
+        self.scheme, self.postings = terms.schemes[taken.scheme], terms.tariff.postings
+        self.hopeless, self.moved = taken.expiry, False
+        self.state, self.posted = State.HELD, 0
+        self.out: dict[int, Posting] = {}
+        self.origin: Posting | None = None  # the first posting that may have run
+        self.avoid: Worker | None = None
--- a/sableford/net/clients.py
+++ b/sableford/net/clients.py
@@ -318,7 +318,7 @@
         if self._left_at and now > self._left_at + self._limits.leave:
             # On kept connections clients go on while they may: what comes late is answered before the kill.
             request.expiry = min(request.expiry, self._left_at + self._limits.last_word)
-        request.slots, request.memory, request.work = wire.facts(told.get(wire.FACTS, b""))
+        request.slots, request.work = wire.facts(told.get(wire.FACTS, b""))
         if self._log.each_txn:
             self._log.say("took", id=request.id, scheme=scheme, left=left, target=head.target)
         self._taken = request
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -235,7 +235,7 @@
         self._ids.add(request.id)
         self._posted[request] = []
         txn = self._door.take(request)
-        needs = request.slots, request.memory, request.work
+        needs = request.slots, request.work
         self._tell(Taken(txn, request.scheme, 0, request.expiry, *needs))
 
     def _gone(self, message: Gone) -> None:
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -77,7 +77,6 @@
         "expiry",
         "headers",
         "id",
-        "memory",
         "method",
         "scheme",
         "slots",
@@ -91,7 +90,7 @@
         self.client, self.method, self.target = client, method, target
         self.headers, self.body = headers, body
         self.id, self.scheme, self.expiry = b"", 0, 0.0
-        self.slots, self.memory, self.work = 1.0, 0.0, 0.0
+        self.slots, self.work = 1.0, 0.0
 
 
 # To the desk: a Request, and
--- a/sableford/net/wire.py
+++ b/sableford/net/wire.py
@@ -57,22 +57,15 @@
     return _ID.fullmatch(text) is not None
 
 
-def facts(text: bytes) -> tuple[float, float, float]:
-    """The slots and the memory that a txn says it needs, and its work in ms; senseless counts as not said.
+def facts(text: bytes) -> tuple[float, float]:
+    """The slots that a txn says it needs, and its work in ms; what is senseless counts as not said.
 
-    >>> facts(b"slots=2,mem_needed=1.5"), facts(b"slots=-2,mem_needed=-1"), facts(b"slots=nan,x"), facts(b"")
-    ((2.0, 1.5, 0.0), (1.0, 0.0, 0.0), (1.0, 0.0, 0.0), (1.0, 0.0, 0.0))
-    >>> facts(b"expected_s=0.25")[2], facts(b"expected_s=-1")[2], facts(b"expected_s=1e9")[2]
-    (250.0, 0.0, 0.0)
+    >>> facts(b"slots=2,expected_s=0.25"), facts(b"slots=-2,expected_s=-1"), facts(b"slots=nan,x"), facts(b"")
+    ((2.0, 250.0), (1.0, 0.0), (1.0, 0.0), (1.0, 0.0))
     """
     found = pairs(text)
-    slots, memory = found.get("slots", 1.0), found.get("mem_needed", 0.0)
-    work = found.get("expected_s", 0.0)
-    return (
-        slots if 0.0 < slots <= MOST_SLOTS else 1.0,
-        memory if 0.0 <= memory <= MOST_SLOTS else 0.0,
-        work * 1000.0 if 0.0 < work <= MOST_WORK else 0.0,
-    )
+    slots, work = found.get("slots", 1.0), found.get("expected_s", 0.0)
+    return slots if 0.0 < slots <= MOST_SLOTS else 1.0, work * 1000.0 if 0.0 < work <= MOST_WORK else 0.0
 
 
 def passed_on(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
