--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -9,12 +9,13 @@
 from heapq import heappop, heappush
 from itertools import islice
 from math import exp, gcd
+from typing import get_args
 from zlib import crc32
 
-from sableford.model import Banned, Repeats, Scheme, Scope, Terms, events
+from sableford.model import Banned, Repeats, Scope, Terms, events
 from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Tell, Wake
 from sableford.model.events import NEVER_RAN, Ended, Ending, Event, Listed, Roster, Standing, Started, Taken
-from sableford.model.state import Lane, Posting, State, Txn, Worker
+from sableford.model.state import Kind, Lane, Posting, Run, State, Txn, Worker
 
 MIX = 2_654_435_761  # spreads a checksum's bits: the golden part of 2**32
 
@@ -107,36 +108,6 @@
 }
 
 
-class Kind:
-    """Workers built alike: their slots, and their pace against the fleet."""
-
-    def __init__(self, index: int, runs: list["Run"]) -> None:
-        self.index, self.runs = index, runs
-        self.slots, self.size = 0.0, 0.0
-        self.held, self.heard, self.heard_at, self.usual = 0.0, 0.0, 0.0, 0.0
-        self.done, self.due, self.touched = 0.0, 0.0, 0.0
-
-    def pace(self) -> float:
-        return (self.done + RUN_WEIGHT) / (self.due + RUN_WEIGHT)
-
-    def others(self, now: float) -> float:
-        """Mean slots taken by others at a worker of this kind, by reports; it must have been heard of."""
-        # It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
-        silence = max(0.0, now - self.heard_at - AGE_LIMIT)
-        return self.held / self.heard * exp(-silence / KIND_FADE)
-
-
-class Run:
-    """The mean run of one scheme's txns over the fleet: running time spent for each finish."""
-
-    def __init__(self, scheme: Scheme) -> None:
-        self.prior = scheme.expiry * RUN_PRIOR
-        self.spent, self.done, self.touched = 0.0, 0.0, 0.0
-
-    def mean(self) -> float:
-        return (self.spent + RUN_WEIGHT * self.prior) / (self.done + RUN_WEIGHT)
-
-
 class Scheduler:
     def __init__(self, terms: Terms, seed: int) -> None:
         self.terms, self.seed, self.draws = terms, seed, 0
@@ -157,7 +128,7 @@
         self.chosen: Worker | None = None
         self.turn, self.scouted, self.drift, self.mean_run = -1, 0.0, 1.0, 1.0
         self.kinds: dict[int, Kind] = {}
-        self.runs = [Run(scheme) for scheme in terms.schemes]
+        self.runs = [Run(scheme.expiry * RUN_PRIOR, RUN_WEIGHT) for scheme in terms.schemes]
         self.lanes = [[Lane(at, rank, run) for at, run in enumerate(self.runs)] for rank in Rank]
         self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
         self.parties: dict[tuple[int, int], tuple[int, ...]] = {}  # by mark and size, once worked out
@@ -170,21 +141,8 @@
         self.token_at = [0.0] * len(terms.accounts)
         self._read_terms()
         self.wake_at, self.moves, self.landed, self.moves_at = 0.0, 0.0, 0.0, 0.0
-        self.handlers = {
-            Taken: self._taken,
-            Started: self._started,
-            events.Progressed: self._progressed,
-            Ended: self._ended,
-            events.Lapsed: self._lapsed,
-            events.Woken: self._patrol,
-            events.Sampled: self._sampled,
-            events.Heard: self._heard,
-            Roster: self._roster,
-            Banned: self._banned,
-            events.Turns: self._turns_pass,
-            events.Amended: self._amended,
-            events.Unfollowed: self._unfollowed,
-        }
+        named = {sort: f"_{sort.__name__.lower()}" for sort in get_args(Event)}
+        self.handlers = {sort: getattr(self, name) for sort, name in named.items()}
 
     def _read_terms(self) -> None:
         terms = self.terms
@@ -199,7 +157,7 @@
         self._read_terms()
         for at, scheme in enumerate(event.terms.schemes):
             if at == len(self.runs):
-                self.runs.append(Run(scheme))  # each kind reads the same list
+                self.runs.append(Run(scheme.expiry * RUN_PRIOR, RUN_WEIGHT))  # each kind reads the same list
                 for rank, lanes in enumerate(self.lanes):
                     lanes.append(Lane(at, rank, self.runs[at]))
             self.runs[at].prior = scheme.expiry * RUN_PRIOR
@@ -440,14 +398,20 @@
         known = worker.own + worker.theirs
         return known + usual + (worker.others - usual) * exp((worker.true_at - now) / self.drift)
 
+    def _held_at(self, kind: Kind, now: float) -> float:
+        """Mean slots taken by others at a worker of this kind, by reports; it must have been heard of."""
+        # It fades with silence: a kind once seen full was left alone by all schedulers and stood idle.
+        silence = max(0.0, now - kind.heard_at - AGE_LIMIT)
+        return kind.held / kind.heard * exp(-silence / KIND_FADE)
+
     def _usual(self, now: float) -> None:
         """What is assumed of the others at each kind, and how fast copies drift to it."""
         done = sum(run.done + RUN_WEIGHT for run in self.runs)
         self.mean_run = sum(run.spent + RUN_WEIGHT * run.prior for run in self.runs) / done
         self.drift = DRIFT * self.mean_run
-        heard = [kind.others(now) for kind in self.kinds.values() if kind.heard]
+        heard = [self._held_at(kind, now) for kind in self.kinds.values() if kind.heard]
         for kind in self.kinds.values():
-            kind.usual = kind.others(now) if kind.heard else sum(heard) / max(1, len(heard))
+            kind.usual = self._held_at(kind, now) if kind.heard else sum(heard) / max(1, len(heard))
 
     def _index(self, worker: Worker, now: float, need: float, size: float) -> tuple[float, bool]:
         """The load index of one worker, and whether it has room."""
@@ -465,7 +429,7 @@
         """The worker that takes the txn now, or none with room for it."""
         need = self._need(txn)
         self._usual(now)
-        near = [*self.drawn, *self._turns(now)] if self.cold else self.drawn
+        near = [*self.drawn, *self._open_turns(now)] if self.cold else self.drawn
         sizes = [max(worker.kind.slots, UNHEARD_SLOTS) * worker.pace for worker in near]
         size = sum(sizes) / len(sizes) if sizes else 1.0
         fit = [worker for worker in near if self._allowed(worker, now, txn)]
@@ -757,12 +721,12 @@
         turn = least + (place - least) % schedulers
         return turn if turn < self._earned(kind, now - since) else -1
 
-    def _turns_pass(self, now: float, event: events.Turns) -> None:
+    def _turns(self, now: float, event: events.Turns) -> None:
         """Two processes of one scheduler share one place in the order: one takes its turns, never both."""
         self.ours, self.turns_from = event.ours, now
         self._pump(now)
 
-    def _turns(self, now: float) -> list[Worker]:
+    def _open_turns(self, now: float) -> list[Worker]:
         """Cold workers at which this scheduler may have a turn now; looked for a few times in a span."""
         if self.terms.tells:
             return []
@@ -944,7 +908,7 @@
             self._waited(one, now) for one in worker.postings.values()
         )
 
-    def _patrol(self, now: float, event: events.Woken) -> None:
+    def _woken(self, now: float, event: events.Woken) -> None:
         if self.follow_at and now >= self.follow_at:
             self.follow_at = 0.0
             self.effects.append(Follow(once=self.terms.ask_within > 0.0))
@@ -1036,7 +1000,7 @@
     def _list(self, told: Listed, now: float) -> None:
         """One line of the roster, and what of it holds under what was said by hand."""
         if told.kind not in self.kinds:
-            self.kinds[told.kind] = Kind(told.kind, self.runs)
+            self.kinds[told.kind] = Kind(self.runs, RUN_WEIGHT)
         line, ban = told, self.bans.get(told.worker)
         if ban is not None and not ban.out:  # operators restarted it, whatever start the list knows of
             line = told._replace(since=max(told.since, ban.at))
--- a/sableford/model/state.py
+++ b/sableford/model/state.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from enum import IntEnum
-from typing import Any
 
 from sableford.model.events import Listed, Standing, Taken
 from sableford.model.terms import Terms
@@ -11,10 +10,34 @@
 State = IntEnum("State", "HELD OUT OVER")
 
 
+class Run:
+    """The mean run of one scheme's txns over the fleet: running time spent for each finish."""
+
+    def __init__(self, prior: float, weight: float) -> None:
+        self.prior, self.weight = prior, weight
+        self.spent, self.done, self.touched = 0.0, 0.0, 0.0
+
+    def mean(self) -> float:
+        return (self.spent + self.weight * self.prior) / (self.done + self.weight)
+
+
+class Kind:
+    """Workers built alike: their slots, and their pace against the fleet."""
+
+    def __init__(self, runs: list[Run], weight: float) -> None:
+        self.runs, self.weight = runs, weight
+        self.slots, self.size = 0.0, 0.0
+        self.held, self.heard, self.heard_at, self.usual = 0.0, 0.0, 0.0, 0.0
+        self.done, self.due, self.touched = 0.0, 0.0, 0.0
+
+    def pace(self) -> float:
+        return (self.done + self.weight) / (self.due + self.weight)
+
+
 class Worker:
     """One listed worker: its copy, its own postings, what was measured of it."""
 
-    def __init__(self, index: int, line: Listed, kind: Any) -> None:
+    def __init__(self, index: int, line: Listed, kind: Kind) -> None:
         self.index, self.zone, self.cell, self.kind = index, line.zone, line.cell, kind
         self.ready, self.since, self.drawn = line.standing is Standing.READY, line.since, False
         self.mark, self.listeners = line.mark, ()
@@ -50,7 +73,7 @@
 class Lane:
     """Held txns of one scheme and rank, the next one's limit first, and how many went out lately."""
 
-    def __init__(self, scheme: int, rank: int, run: Any) -> None:
+    def __init__(self, scheme: int, rank: int, run: Run) -> None:
         self.scheme, self.rank, self.run = scheme, rank, run
         self.queue: list[tuple[float, int]] = []
         self.flow, self.flow_at = 0.0, 0.0
