--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -5,17 +5,16 @@
 
 from bisect import insort
 from collections.abc import Iterator
-from enum import IntEnum
 from heapq import heappop, heappush
 from itertools import islice
-from math import exp, gcd
+from math import exp
 from typing import get_args
 from zlib import crc32
 
 from sableford.model import Banned, Repeats, Scope, Terms, events
 from sableford.model.effects import CallOff, Decline, Effect, Follow, Post, Probe, Reverse, Tell, Wake
 from sableford.model.events import NEVER_RAN, Ended, Ending, Event, Listed, Roster, Standing, Started, Taken
-from sableford.model.state import Kind, Lane, Posting, Run, State, Txn, Worker
+from sableford.model.state import Again, Input, Kind, Lane, Parties, Posting, Rank, Run, State, Txn, Worker
 
 MIX = 2_654_435_761  # spreads a checksum's bits: the golden part of 2**32
 
@@ -93,9 +92,6 @@
 
 
 NOTHING = (0.0, 0.0)  # told so far
-Input = IntEnum("Input", "ROOM LATE STALLED NEVER_RAN MAY_HAVE_RUN SETTLED LAPSED")
-Again = IntEnum("Again", "ANYWHERE IN_GROUP NOWHERE")
-Rank = IntEnum("Rank", "SHARE BEYOND TARDY", start=0)  # of a tenant's share, beyond it, past the SLA time
 
 # (scheme's repeats, may an earlier posting have run) -> where it may go again, may it be declined
 PERMITS = {
@@ -131,7 +127,7 @@
         self.runs = [Run(scheme.expiry * RUN_PRIOR, RUN_WEIGHT) for scheme in terms.schemes]
         self.lanes = [[Lane(at, rank, run) for at, run in enumerate(self.runs)] for rank in Rank]
         self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
-        self.parties: dict[tuple[int, int], tuple[int, ...]] = {}  # by mark and size, once worked out
+        self.party = Parties(terms.schedulers).of
         self.ours, self.turns_from = True, 0.0  # the turns at cold workers, and since when
         self.born, self.follow_at, self.refused = -1.0, 0.0, 0
         self.limits: list[tuple[float, int]] = []
@@ -166,14 +162,11 @@
         if event.terms.tells != before.tells:
             # Kept, what was told before a time without words was counted on for ever.
             for worker in self.workers.values():
-                worker.told.clear()
-                worker.theirs = 0.0
-                worker.shown = worker.own if self.line_shown else 0.0
-                worker.past.clear()
+                worker.hush(self.line_shown)
             self.exchange_at, self.turns_from = now, now
         if (event.terms.schedulers, event.terms.position) != (before.schedulers, before.position):
             self.turns_from = now  # turns by the old order may have been taken
-            self.parties.clear()
+            self.party = Parties(event.terms.schedulers).of
         if event.terms.accounts != before.accounts:
             self.tokens = [TOKENS + one.allowance / event.terms.schedulers for one in event.terms.accounts]
             self.token_at = [now] * len(self.tokens)
@@ -361,7 +354,7 @@
         worker.own += need
         self._tell(worker, now)
         if self.line_shown:
-            self._show(worker, need, now)
+            worker.show(need, now)
         if self._is_cold(worker.since, now):
             worker.sends.append((now, self._cost(txn)))
             turn = max(worker.turn, self._turn(worker.index, worker.kind, worker.since, now, worker.turn))
@@ -377,10 +370,6 @@
     def _need(self, txn: Txn) -> float:
         return max(1.0, txn.taken.slots)
 
-    def _show(self, worker: Worker, slots: float, now: float) -> None:
-        worker.shown = max(0.0, worker.shown + slots)
-        worker.past.append((now, worker.shown))
-
     # The mechanism: aged copies, the local bound, the rotation
 
     def _estimate(self, worker: Worker, now: float) -> float:
@@ -506,22 +495,10 @@
 
     # What schedulers tell each other
 
-    def _party(self, mark: int, size: float) -> tuple[int, ...]:
-        """The schedulers that look after a worker, by its mark: known to all, nobody has to be asked."""
-        if (party := self.parties.get((mark, int(size)))) is not None:
-            return party
-        schedulers, chance = self.terms.schedulers, crc32(b"%d" % mark) * MIX % 2**32
-        step = 1 + chance // schedulers % max(1, schedulers - 1)
-        while gcd(step, schedulers) > 1:
-            step += 1
-        party = tuple((chance + at * step) % schedulers for at in range(min(schedulers, int(size))))
-        self.parties[mark, int(size)] = party
-        return party
-
     def _tell(self, worker: Worker, now: float) -> None:
         if self.terms.tells:
             size = TAKERS if worker.index in self.cold else self._listeners()
-            party = self._party(worker.mark, size)
+            party = self.party(worker.mark, size)
             peers = tuple(peer for peer in party if peer != self.terms.position)
             if peers:
                 self.effects.append(Tell(peers, worker.index, worker.own))
@@ -544,14 +521,6 @@
         if self.held and more < 0.0 and worker.own + worker.theirs < worker.kind.slots:
             self._pump(now)
 
-    def _outdate(self, worker: Worker, now: float) -> None:
-        """Forget what was said so long ago that it must be over: who said so may have been killed."""
-        for peer, (slots, at) in list(worker.told.items()):
-            if now - at > TOLD_LIFE * self.mean_run:
-                del worker.told[peer]
-                worker.theirs -= slots
-                self._show(worker, -slots, now)
-
     def _most(self) -> float:
         return max(DRAW_LEAST, WATCHERS * len(self.open) / self.terms.schedulers)
 
@@ -574,7 +543,7 @@
         for index in [*self.open, *self.cold]:
             line = self.listed[index]
             size = TAKERS if index in self.cold else self._listeners()
-            if self.terms.position in self._party(line.mark, size):
+            if self.terms.position in self.party(line.mark, size):
                 worker = self.workers.get(index) or self._meet(line)
                 worker.drawn = True
                 self.drawn.append(worker)
@@ -605,7 +574,7 @@
                     self._draw(self.workers.get(index) or self._meet(self.listed[index]))
         if self.terms.tells:
             for worker in self.drawn:
-                self._outdate(worker, now)
+                worker.outdate(now, TOLD_LIFE * self.mean_run)
             return
         if len(self.drawn) < min(len(self.open), self._most()):
             self._redraw(now)
@@ -714,7 +683,7 @@
         # Called back by hand it is cold from a time of each scheduler's own: the order hangs on the list.
         place = self.terms.position - crc32(b"%d" % self.roster[index].since)
         if self.terms.tells:
-            party = self._party(self.listed[index].mark, TAKERS)
+            party = self.party(self.listed[index].mark, TAKERS)
             if self.terms.position not in party:
                 return -1
             place = party.index(self.terms.position)
@@ -743,7 +712,7 @@
         if (posting := self._posting(event.txn, event.posting)) is None:
             return
         worker = posting.worker
-        self._measure(worker, now)
+        worker.measure(now, PACE_MEMORY, PACE_WEIGHT, RUN_MEMORY)
         if not posting.started:
             posting.started = True
             self.unstarted -= 1
@@ -751,7 +720,7 @@
                 self._count_moves(now, 0.0, 1.0)
             worker.running[posting.scheme] += 1
             if not self.line_shown:
-                self._show(worker, posting.need, now)
+                worker.show(posting.need, now)
         posting.news, worker.misses = now, 0
         busy = sum(other.need for other in worker.postings.values() if other.started)
         worker.kind.slots = max(worker.kind.slots, float(int(busy)))
@@ -761,7 +730,7 @@
         if (posting := self._posting(event.txn, event.posting)) is not None:
             worker = posting.worker
             if posting.mute:  # measured at each progress, running times shifted, and more moves were made
-                self._measure(worker, now)
+                worker.measure(now, PACE_MEMORY, PACE_WEIGHT, RUN_MEMORY)
                 worker.running[posting.scheme] += 1
             posting.news = worker.heard = now
             posting.mute = worker.still = False
@@ -782,12 +751,12 @@
             del self.active[worker.index]
         self.unstarted -= not posting.started
         self.out = max(0.0, self.out - posting.need)
-        self._measure(worker, now)
+        worker.measure(now, PACE_MEMORY, PACE_WEIGHT, RUN_MEMORY)
         self._judge(worker, posting, event.ending, now)
         worker.own = max(0.0, worker.own - posting.need)
         self._tell(worker, now)
         if self.line_shown or posting.started:
-            self._show(worker, -posting.need, now)
+            worker.show(-posting.need, now)
         if event.load:
             self._report(worker, event.load, now)
         self._look(worker, now)
@@ -821,25 +790,6 @@
         elif ending is Ending.FULL:
             worker.rest_until = now + FULL_REST
 
-    def _measure(self, worker: Worker, now: float) -> None:
-        """Bring the worker's, its kind's and the schemes' sums up to date."""
-        spell = now - worker.touched
-        fade = exp(-spell / PACE_MEMORY)
-        kind = worker.kind
-        drop = exp((kind.touched - now) / RUN_MEMORY)
-        kind.done, kind.due, kind.touched = kind.done * drop, kind.due * drop, now
-        due = 0.0
-        for scheme, count in enumerate(worker.running):
-            run = self.runs[scheme]
-            drop = exp((run.touched - now) / RUN_MEMORY)
-            run.spent, run.done, run.touched = run.spent * drop, run.done * drop, now
-            if count:
-                run.spent += spell * count
-                due += spell * count / run.mean()
-        kind.due += due
-        worker.done, worker.due, worker.touched = worker.done * fade, worker.due * fade + due, now
-        worker.pace = (worker.done + PACE_WEIGHT * kind.pace()) / (worker.due + PACE_WEIGHT)
-
     def _report(self, worker: Worker, load: tuple[float, ...], now: float) -> None:
         """Renew the copy. The same figures again are the same report, and its copy goes on ageing."""
         terms, kind = self.terms, worker.kind
@@ -915,7 +865,7 @@
         silence = self.terms.progress and self.terms.progress * STILL + STILL_SLACK
         late: list[int] = []
         for worker in self.active.values():  # measured all, the draw took two fifths of the CPU
-            self._measure(worker, now)
+            worker.measure(now, PACE_MEMORY, PACE_WEIGHT, RUN_MEMORY)
             self._look(worker, now)
             for (index, _), posting in worker.postings.items():
                 if posting.started and 0.0 < silence < now - posting.news and not posting.mute:
--- a/sableford/model/state.py
+++ b/sableford/model/state.py
@@ -2,12 +2,17 @@
 
 from collections import deque
 from enum import IntEnum
+from math import exp, gcd
+from zlib import crc32
 
 from sableford.model.events import Listed, Standing, Taken
 from sableford.model.terms import Terms
 
 PAST_MOST = 2000  # changes kept of one worker: where nothing is reported they are never read
 State = IntEnum("State", "HELD OUT OVER")
+Rank = IntEnum("Rank", "SHARE BEYOND TARDY", start=0)  # of a tenant's share, beyond it, past the SLA time
+Again = IntEnum("Again", "ANYWHERE IN_GROUP NOWHERE")
+Input = IntEnum("Input", "ROOM LATE STALLED NEVER_RAN MAY_HAVE_RUN SETTLED LAPSED")
 
 
 class Run:
@@ -62,6 +67,44 @@
         self.told: dict[int, tuple[float, float]] = {}  # by scheduler: its slots here, and since when
         self.theirs = 0.0  # their sum
 
+    def show(self, slots: float, now: float) -> None:
+        """So many slots more of known postings that a report counts."""
+        self.shown = max(0.0, self.shown + slots)
+        self.past.append((now, self.shown))
+
+    def hush(self, line_shown: bool) -> None:
+        """Nothing told counts any longer."""
+        self.told.clear()
+        self.theirs, self.shown = 0.0, self.own if line_shown else 0.0
+        self.past.clear()
+
+    def outdate(self, now: float, life: float) -> None:
+        """Forget what was said so long ago that it must be over: who said so may have been killed."""
+        for peer, (slots, at) in list(self.told.items()):
+            if now - at > life:
+                del self.told[peer]
+                self.theirs -= slots
+                self.show(-slots, now)
+
+    def measure(self, now: float, memory: float, weight: float, run_memory: float) -> None:
+        """Bring the worker's, its kind's and the schemes' sums up to date."""
+        spell = now - self.touched
+        fade = exp(-spell / memory)
+        kind = self.kind
+        drop = exp((kind.touched - now) / run_memory)
+        kind.done, kind.due, kind.touched = kind.done * drop, kind.due * drop, now
+        due = 0.0
+        for scheme, count in enumerate(self.running):
+            run = kind.runs[scheme]
+            drop = exp((run.touched - now) / run_memory)
+            run.spent, run.done, run.touched = run.spent * drop, run.done * drop, now
+            if count:
+                run.spent += spell * count
+                due += spell * count / run.mean()
+        kind.due += due
+        self.done, self.due, self.touched = self.done * fade, self.due * fade + due, now
+        self.pace = (self.done + weight * kind.pace()) / (self.due + weight)
+
     def shown_at(self, when: float) -> float:
         """Slots of own postings that a report true at that time counts."""
         for at, shown in reversed(self.past):
@@ -98,3 +141,23 @@
         self.out: dict[int, Posting] = {}
         self.origin: Posting | None = None  # the first posting that may have run
         self.avoid: Worker | None = None
+
+
+class Parties:
+    """The schedulers that look after a worker, by its mark: known to all alike, nobody has to be asked."""
+
+    def __init__(self, schedulers: int) -> None:
+        self.schedulers = schedulers
+        self.known: dict[tuple[int, int], tuple[int, ...]] = {}
+
+    def of(self, mark: int, size: float) -> tuple[int, ...]:
+        if (party := self.known.get((mark, int(size)))) is not None:
+            return party
+        # Checksums of like marks are alike: unmixed, workers listed one after the other had one party.
+        schedulers, chance = self.schedulers, crc32(b"%d" % mark) * 2_654_435_761 % 2**32
+        step = 1 + chance // schedulers % max(1, schedulers - 1)
+        while gcd(step, schedulers) > 1:
+            step += 1
+        party = tuple((chance + at * step) % schedulers for at in range(min(schedulers, int(size))))
+        self.known[mark, int(size)] = party
+        return party
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -28,7 +28,7 @@
     raw c BYTES | hangup c | sigterm | reload [torn] KEY=VALUE | fail | files 1 | wait 20
     drip                              from now on all that stubs and clients say comes byte by byte
     speak p1 A 3                      another scheduler says what it has at A (`terms peers=2` has p1)
-    told: word p1 A 1 (it was told) | at A t1 LINE BODY | closed A t1
+    told: word p1 A 1 | at A t1 LINE BODY | closed A t1
     answer t1 200 BODY | closed c | watch 3 | whole | log EVENT
     called c 200 TEXT | hushed c (no answer) | ends 0 | probe A | copy t1 (two at once at workers)
 """
