--- a/sableford/logic.py
+++ b/sableford/logic.py
@@ -336,7 +336,7 @@
                 self._step(now, index, Input.ROOM)
 
     def _earns(self, lane: Lane) -> float:
-        """Earnings for each running millisecond; they shrink beyond a tenant's share and past the SLA time."""
+        """Earnings for each running millisecond; less beyond a tenant's share and past the SLA time."""
         scheme = self.terms.schemes[lane.scheme]
         part = (1.0, self.terms.tariff.overage, scheme.tardy)[lane.rank]
         return scheme.earnings * part / (1.0 if self.terms.by_work else lane.run.mean())
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -12,7 +12,8 @@
     8 hear 3 A 2                      scheduler 3 has two slots out at A
     8 yield | resume                                  another process takes the cold turns, or this one again
     9 start t1.0 t2.0 | move t1.0 | end t1.0 settled LOAD | lapse t1 | sample A,B LOAD | unfollow | wait
-    effects: tell 2 A 1 (two are told of one slot) | post t1 A | off t1.0 | decline t1 | reverse t1 | probe A | follow | ask (once)
+    effects: tell 2 A 1 (two told of one slot) | post t1 A | off t1.0 | decline t1 | reverse t1 | probe A
+    follow | ask (once)
 
 On sockets (`tests/sockets/`) a scheduler runs on loopback among stubs. Steps have no times: each acts at
 once, and a claim waits for what it names: with a count of 0 a moment for it not to come, after `now` not at
@@ -318,9 +319,9 @@
     def __init__(self) -> None:
         self.told: list[str] = []
         self.terms = options(
-            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2 ask=0".split()
-            + ["door=0", "peers=1"]
+            "sockets=200 idle=60 free=4 tells=0 probes=0 postings=4 progress=0 pause=2 ask=0 door=0".split()
         )
+        self.terms["peers"] = 1.0
         self.schemes: list[dict] = []
         self.limits: dict[str, float] = {}
         self.listed: dict[str, dict] = {}
