Keep every file off the event loop: folder, start-up file and log get threads of their own

Cause: with a console the handover wrote its word each second and looked four times a second on the loop; a busy disk took 94 to 490 ms a rename, so all txns stood still as long. A full pipe under the log stopped the process for good. Ruled out: name look-ups of workers and discovery (asyncio's own threads); peers named by a host name would have been looked up by each datagram and are refused now.

Change: net/hand.py runs one call at a time on a thread, later ones of a kind in place of earlier that wait; net/folder.py owns the files; handover and keeper get results as messages; the log has a thread and a bound, what is left out is counted (log_gap). A call by hand is in force at once, its yes says where it is not written after 0.3 s. At an end the disk is waited for 0.1 s.

The word now stays.

--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -4,6 +4,8 @@
 must never guess a missing field, nor put half of a file into force.
 """
 
+import asyncio
+import ipaddress
 import os
 from collections.abc import Iterator
 from pathlib import Path
@@ -13,6 +15,7 @@
 
 from sableford.intake.charter import Charter, amended, read_charter
 from sableford.net import wire
+from sableford.net.hand import Hand
 from sableford.net.limits import Limits, granted
 from sableford.net.log import Log
 from sableford.net.mail import Mailbox, Renew, Share
@@ -60,28 +63,40 @@
     """To the keeper: read the file again."""
 
 
+class _Read(NamedTuple):
+    """To itself: what the file holds now, or what is wrong with it."""
+
+    outcome: Berth | ValueError
+
+
 class Keeper:
     """The file's actor: reads it again when asked, and tells the others what is new in it."""
 
     def __init__(self, path: str, log: Log, processes: int = 1, talk: bool = False) -> None:
-        self.mail, self._talk = Mailbox(), talk
+        self.mail, self._talk, self._hand = Mailbox(), talk, Hand("file")
         self._path, self._log, self._processes = path, log, processes
 
     async def run(self, berth: Berth, others: tuple[Mailbox, ...]) -> None:
         """A file as a whole or not at all. Asked twice at once it reads once."""
         now, last = Renew(berth.limits, berth.discovery, berth.charter, berth.peers), berth
         while True:
-            messages = await self.mail.take()
-            for message in messages:
-                if isinstance(message, Share):
-                    self._processes = message.processes
-                    now = now._replace(limits=last.shared(self._processes))
-                    for mail in others:
-                        mail.put(now)
-            if not any(isinstance(message, Reread) for message in messages):
+            read: Berth | ValueError | None = None
+            for message in await self.mail.take():
+                match message:
+                    case Share(processes):
+                        self._processes = processes
+                        now = now._replace(limits=last.shared(self._processes))
+                        for mail in others:
+                            mail.put(now)
+                    case Reread():
+                        self._ask()
+                    case _Read(outcome):
+                        read = outcome
+            if read is None:
                 continue
             try:
-                read = read_berth(self._path, self._talk)
+                if isinstance(read, ValueError):
+                    raise read
                 # Cut by an editor or a template a file can be sound, and say less than was meant.
                 if lost := min(last.keys - read.keys, default=""):
                     raise ValueError(f"{self._path}: {lost}: missing, the file in force has it")
@@ -111,6 +126,20 @@
                     mail.put(told)
             now, last = told, read
 
+    def _ask(self) -> None:
+        """Read by the hand: a disk that is slow over it holds up nobody."""
+        future = self._hand.do("file", lambda: read_berth(self._path, self._talk))
+
+        def done(read: asyncio.Future) -> None:
+            if not read.cancelled():
+                self.mail.put(_Read(read.result() if read.exception() is None else _wrong(read.exception())))
+
+        future.add_done_callback(done)
+
+
+def _wrong(problem: BaseException) -> ValueError:
+    return problem if isinstance(problem, ValueError) else ValueError(repr(problem))
+
 
 def read_berth(path: str, talk: bool = False) -> Berth:
     """Read the file; ValueError names the file and the field. Without `talk` no peers are spoken to."""
@@ -158,6 +187,11 @@
     places, terms = tuple(map(wire.address, given)), charter.terms
     if places and len(places) != terms.schedulers:
         raise ValueError(f"{len(places)} addresses for {terms.schedulers} instances")
+    for host, _ in places:
+        try:  # a name would be looked up by each message sent, on the loop
+            ipaddress.ip_address(host)
+        except ValueError as problem:
+            raise ValueError(f"{host!r} is not an IP address") from problem
     if len(set(places)) < len(places):
         raise ValueError("an address twice")
     if places and not 0 <= terms.position < len(places):
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -17,12 +17,13 @@
 from sableford.net.console import Console
 from sableford.net.desk import Desk
 from sableford.net.handover import Handover
-from sableford.net.log import Log
+from sableford.net.log import Aside, Log
 from sableford.net.mail import Clock, Leave, Turn
 from sableford.net.peers import Peers
 from sableford.net.roster import Roster, first_list, inherited
 
 BAD_START, FAILED = 2, 70
+LAST_LINES = 200.0  # ms for the last lines of the log to be read: an end waits for no reader
 
 
 def listening(field: str, place: tuple[str, int], berth: Berth) -> socket.socket:
@@ -99,7 +100,7 @@
             await asyncio.sleep(limits.last / 1000.0)
             return FAILED
     log.say("left")
-    handover.close()
+    await handover.close()
     return 0
 
 
@@ -132,13 +133,15 @@
     On SIGHUP the file is read again: discovery's address and the limits take effect at once, a bad file
     changes nothing, and what else changed is logged as needing a restart.
     """
+    sink = Aside(sys.__stdout__.fileno())
     try:
         berth = read_berth(config, talk)
-        log = Log(berth.name, each_txn)
         gc.freeze()
-        code = asyncio.run(run(berth, config, log, talk))
+        code = asyncio.run(run(berth, config, Log(berth.name, each_txn, sink), talk))
     except ValueError as problem:
         _told(problem)
+    finally:
+        sink.close(LAST_LINES)
     sys.exit(code)
 
 
--- a/sableford/net/console.py
+++ b/sableford/net/console.py
@@ -150,11 +150,13 @@
         return judge(head.method, head.target, self._known, self._leaving), head.method == b"HEAD"
 
     async def _answer(self, peer: Peer, verdict: Verdict, bare: bool) -> None:
+        text = verdict.text
         if verdict.rule is not None:  # written before the yes: a kill right after it ends no ban
             reply = Mailbox()
             self._handover.put_first(Ruling(Rule(*verdict.rule, self._clock.now()), reply))
-            await reply.take(self._limits.written)
-        body = verdict.text.encode() + b"\n"
+            if await reply.take(self._limits.written) != [True]:  # in force here, and the caller can know
+                text += "; not written yet, another process or a restart does not know"
+        body = text.encode() + b"\n"
         headers = [
             (b"content-type", b"text/plain; charset=utf-8"),
             (b"content-length", b"%d" % len(body)),
--- a/sableford/net/handover.py
+++ b/sableford/net/handover.py
@@ -1,140 +1,70 @@
 """What the old and the new process of one scheduler owe each other, by files in a folder of their own.
 
-It owns the folder, its own lock and word there, and the calls by hand as they hold over all processes. It
-must never take what another process wrote for more than a claim, nor let a bad file stop a start.
+It owns the own word there and the calls by hand as they hold over all processes. It must never take what
+another process wrote for more than a claim, let a bad file stop a start, nor wait for a disk once it serves.
 """
 
-import fcntl
+import asyncio
 import os
-import stat
-import tempfile
-import time
-from contextlib import suppress
-from pathlib import Path
+from typing import NamedTuple
 from zlib import crc32
 
 import msgspec
 
 from sableford.net import pact
+from sableford.net.folder import Folder
+from sableford.net.hand import Hand
 from sableford.net.limits import Limits
 from sableford.net.log import Log
 from sableford.net.mail import Beside, Clock, Kept, Leave, Mailbox, Rule, Ruling, Share, Turn
 from sableford.net.pact import Other, Stage, Word
 
 
+class _Seen(NamedTuple):
+    """To itself, from the hand: a look that was asked for at that time is done."""
+
+    asked: float
+    others: list[Other]
+    left: list[Word]
+
+
+class _Written(NamedTuple):
+    """The same of a write of the own word."""
+
+    asked: float
+    problem: str
+
+
 class Handover:
     """One process's side. Without a folder it stands alone, and says so once."""
 
     def __init__(self, name: str, place: str | None, clock: Clock, limits: Limits, log: Log) -> None:
         self.mail = Mailbox()
         self._clock, self._limits, self._log = clock, limits, log
-        self._folder: Path | None = None
-        self._lock = -1
+        self._folder: Folder | None = None
+        self._hand = Hand("handover")
         self._born = clock.now()
         self._token = f"{self._born:.0f}-{os.urandom(4).hex()}"
         self._rules: dict[str, Rule] = {}
-        self._read: dict[str, tuple[tuple, Word | None]] = {}  # by token: which file, and what it said
         self._others: list[Other] = []
         self._stage, self._holds, self._beside, self._share = Stage.STARTING, False, False, 1
         self._kept: Kept | None = None
-        self._beat_at = 0.0
+        self._look_at = 0.0  # none under way: when the next is due
+        self._looking = self._failed = self._slow = False
+        self._leaving: float | None = None  # asked to leave then, and the gate not told yet
         if place is not None:
             try:
-                self._settle(f"sableford-{crc32(f'{name} {place}'.encode()):08x}")
+                shared = f"sableford-{crc32(f'{name} {place}'.encode()):08x}"
+                self._folder = Folder(shared, self._token, limits.remembered)
             except OSError as problem:
-                self._folder = None
                 log.say("handover_off", problem=repr(problem))
 
-    def _settle(self, name: str) -> None:
-        folder = Path(tempfile.gettempdir(), name)
-        folder.mkdir(mode=0o700, exist_ok=True)
-        found = folder.lstat()
-        if not stat.S_ISDIR(found.st_mode) or found.st_uid != os.geteuid():
-            raise PermissionError(f"{folder} is another's")
-        # Locked before it has its name: seen without a lock it would pass for a dead one's.
-        unnamed = folder / f"{self._token}.new"
-        self._lock = os.open(unnamed, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        unnamed.rename(folder / f"{self._token}.lock")
-        self._folder = folder
-
-    # The files
-
-    def _write(self) -> None:
-        """The own word, whole or not at all."""
-        if self._folder is None:
-            return
-        rules = pact.kept(self._rules, self._clock.now())
-        word = Word(pact.FORMAT, self._born, self._stage, self._holds, rules)
-        if self._kept is not None:
-            word.listing, word.legacy = msgspec.Raw(self._kept.listing), self._kept.legacy
-        try:
-            unnamed = self._folder / f"{self._token}.part"
-            unnamed.write_bytes(msgspec.json.encode(word))
-            unnamed.rename(self._folder / f"{self._token}.word")
-        except OSError as problem:
-            self._log.say("handover_failed", problem=repr(problem))
-
-    def _look(self) -> tuple[list[Other], list[Word]]:
-        """Who else lives, and the words of those that died just now, whose files are removed."""
-        living, left = [], []
-        if self._folder is None:
-            return living, left
-        try:
-            names = [entry.name for entry in os.scandir(self._folder)]
-        except OSError:
-            return living, left
-        locks = sorted(name for name in names if name.endswith(".lock"))
-        for token in (name.removesuffix(".lock") for name in locks):
-            if token == self._token:
-                continue
-            if (beat := self._dead(token)) is None:
-                living.append(Other(token, self._word(token)))
-                continue
-            word = self._word(token)
-            if word is not None and time.time() * 1000.0 - beat < self._limits.remembered:
-                left.append(word)
-            self._remove(token)
-        for token in self._read.keys() - {other.token for other in living}:
-            del self._read[token]
-        return living, left
-
-    def _dead(self, token: str) -> float | None:
-        """When one that is dead gave its last sign; none for one that lives."""
-        try:
-            file = os.open(self._folder / f"{token}.lock", os.O_RDONLY | os.O_CLOEXEC)
-        except OSError:
-            return 0.0
-        try:
-            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            return os.fstat(file).st_mtime * 1000.0
-        except OSError:
-            return None
-        finally:
-            os.close(file)
-
-    def _word(self, token: str) -> Word | None:
-        path = self._folder / f"{token}.word"
-        try:
-            found = path.stat()
-            which = (found.st_ino, found.st_mtime_ns, found.st_size)
-            if self._read.get(token, ((), None))[0] != which:
-                text = path.read_bytes() if found.st_size <= pact.MOST_WORD else b""
-                self._read[token] = which, pact.read_word(text)
-        except OSError:  # not written yet
-            return None
-        return self._read[token][1]
-
-    def _remove(self, token: str) -> None:
-        for ending in ("word", "part", "new", "lock"):
-            with suppress(OSError):
-                (self._folder / f"{token}.{ending}").unlink()
-
-    # What follows
-
     def begin(self) -> tuple[list[Rule], int, Kept | None]:
-        """Before anything is served: the calls in force, how many processes share, what another knows."""
-        self._others, left = self._look()
+        """Before anything is served: the calls in force, how many processes share, what another knows. The
+        one place that waits for the disk: to serve before another's calls are read would break them."""
+        left: list[Word] = []
+        if self._folder is not None:
+            self._others, left = self._folder.look(self._limits.beat)
         now = self._clock.now()
         words = [word for word in (*(other.word for other in self._others), *left) if word is not None]
         for word in words:
@@ -160,55 +90,123 @@
         while True:
             for message in await self.mail.take(self._period()):
                 match message:
-                    case Ruling(rule, reply):
-                        self._call(rule, desk)
-                        reply.put(message)
+                    case Ruling():
+                        self._call(message, desk)
                     case Kept():
                         self._kept = message
                         self._write()
-                    case Leave():
+                    case Leave() if self._leaving is None and self._stage is not Stage.LEAVING:
                         self._stage = Stage.LEAVING
-                        self._tend(desk, gate, keeper)
+                        self._leaving = self._clock.now()
                         self._write()
-                        gate.put(Leave(beside=self._beside))
-            self._tend(desk, gate, keeper)
+                        self._look()
+                    case _Seen(asked, others, left):
+                        self._looking = False
+                        self._tend(others, left, desk, gate, keeper)
+                        if self._leaving is not None and asked >= self._leaving:
+                            self._leave(gate)
+                    case _Written(asked, problem):
+                        self._say_disk(asked, problem)
+            now = self._clock.now()
+            # A disk that does not answer tells nothing of another process; what was seen last counts.
+            if self._leaving is not None and now >= self._leaving + self._limits.sure:
+                self._leave(gate)
+            if not self._looking and now >= self._look_at:
+                self._look()
 
     def _period(self) -> float | None:
+        """Until there is something to do without a message."""
+        due = [] if self._folder is None or self._looking else [self._look_at]
+        if self._leaving is not None:
+            due.append(self._leaving + self._limits.sure)
+        return max(0.0, min(due) - self._clock.now()) if due else None
+
+    # The disk, by the hand alone
+
+    def _look(self) -> None:
         if self._folder is None:
-            return None
-        return self._limits.glance if self._others else self._limits.lookout
+            if self._leaving is not None:  # alone
+                self.mail.put(_Seen(self._leaving, [], []))
+            return
+        self._looking, asked = True, self._clock.now()
+        folder, beat = self._folder, self._limits.beat
+        future = self._hand.do("look", lambda: folder.look(beat))
+
+        def looked(done: asyncio.Future) -> None:
+            if not done.cancelled():
+                seen = done.result() if done.exception() is None else (self._others, [])
+                self.mail.put(_Seen(asked, *seen))
 
-    def _call(self, rule: Rule, desk: Mailbox) -> None:
-        if (rule := pact.called(self._rules, rule)) is None:
+        future.add_done_callback(looked)
+
+    def _write(self, reply: Mailbox | None = None) -> None:
+        """The own word as it now stands. Words asked for while one is under way go out as one."""
+        if self._folder is None:
+            if reply is not None:
+                reply.put(True)
+            return
+        rules = pact.kept(self._rules, self._clock.now())
+        word = Word(pact.FORMAT, self._born, self._stage, self._holds, rules)
+        if self._kept is not None:
+            word.listing, word.legacy = msgspec.Raw(self._kept.listing), self._kept.legacy
+        folder, asked = self._folder, self._clock.now()
+        future = self._hand.do("write", lambda: folder.write(word))
+
+        def written(done: asyncio.Future) -> None:
+            if not done.cancelled():
+                problem = done.exception()
+                if reply is not None:
+                    reply.put(problem is None)
+                self.mail.put(_Written(asked, "" if problem is None else repr(problem)))
+
+        future.add_done_callback(written)
+
+    def _say_disk(self, asked: float, problem: str) -> None:
+        """Said once as it begins and once as it ends, not with each of a second's words."""
+        if bool(problem) != self._failed:
+            self._failed = bool(problem)
+            self._log.say("handover_failed" if problem else "handover_written", problem=problem)
+        took = self._clock.now() - asked
+        if (took > self._limits.beat) != self._slow:
+            self._slow = not self._slow
+            self._log.say("handover_slow", slow=self._slow, took=round(took))
+
+    # What follows
+
+    def _leave(self, gate: Mailbox) -> None:
+        self._leaving = None
+        gate.put(Leave(beside=self._beside))
+
+    def _call(self, message: Ruling, desk: Mailbox) -> None:
+        """In force here at once; the caller hears when it is written too."""
+        if (rule := pact.called(self._rules, message.rule)) is None:
+            message.reply.put(True)
             return
         self._rules[rule.worker] = rule
         self._log.say("by_hand", worker=rule.worker, out=rule.out)
-        self._write()
         desk.put_first(rule)
+        self._write(message.reply)
 
-    def _tend(self, desk: Mailbox, gate: Mailbox, keeper: Mailbox) -> None:
-        """Look at the others, and do what follows."""
-        if self._folder is None:
-            return
+    def _tend(
+        self, others: list[Other], left: list[Word], desk: Mailbox, gate: Mailbox, keeper: Mailbox
+    ) -> None:
+        """What follows from what was seen of the others."""
         now, before = self._clock.now(), len(self._others)
-        if now - self._beat_at >= self._limits.beat:
-            self._beat_at = now
-            with suppress(OSError):
-                os.utime(self._lock)
-        self._others, left = self._look()
-        for word in (*(other.word for other in self._others), *left):
+        self._others = others
+        self._look_at = now + (self._limits.glance if others else self._limits.lookout)
+        for word in (*(other.word for other in others), *left):
             for rule in pact.merged(self._rules, word, now) if word is not None else ():
                 self._rules[rule.worker] = rule
                 self._log.say("by_hand", worker=rule.worker, out=rule.out, told_by="another process")
                 desk.put_first(rule)
-        if len(self._others) != before:
-            self._log.say("beside", others=len(self._others))
-            keeper.put(Share(1 + len(self._others)))
-        beside = pact.stands_beside(self._others)
+        if len(others) != before:
+            self._log.say("beside", others=len(others))
+            keeper.put(Share(1 + len(others)))
+        beside = pact.stands_beside(others)
         if beside != self._beside:
             self._beside = beside
             gate.put(Beside(beside))
-        holds = pact.holds(self._stage, self._born, self._token, self._holds, self._others)
+        holds = pact.holds(self._stage, self._born, self._token, self._holds, others)
         if holds != self._holds:
             self._holds = holds
             # Given up before it is written, taken after all others were seen without it.
@@ -216,7 +214,8 @@
             self._log.say("cold_turns", ours=holds)
             self._write()
 
-    def close(self) -> None:
-        """At a clean end; alone the word stays, for the next start."""
-        if self._folder is not None and self._others:
-            self._remove(self._token)
+    async def close(self) -> None:
+        """At a clean end the last word goes out and stays: who lives reads it once the lock is let go, then
+        removes it. Removed here, a call by hand of the last moments went with it."""
+        if self._folder is not None:
+            await asyncio.wait([self._hand.do("close", lambda: None)], timeout=self._limits.sure / 1000.0)
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -42,6 +42,7 @@
     beat: float = 1000.0  # between signs of life, which date the word of a dead process
     remembered: float = 10_000.0  # a dead process's word counts for so long after its last sign
     written: float = 300.0  # a caller waits so long for its call to be written; the yes follows all the same
+    sure: float = 100.0  # asked to end, the disk has so long to say whether another one serves: two glances
     yields: float = 1000.0  # after SIGTERM with another process serving, resting connections go
     call_in: float = 2000.0  # for a caller at the console from connecting to the end of its call
     call_size: int = 4096  # of a call's body, which says nothing
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -193,7 +193,7 @@
 
 
 class Ruling(NamedTuple):
-    """A call by hand; it comes back to `reply` once it is written."""
+    """A call by hand; `reply` hears whether it was written, as soon as that is known."""
 
     rule: Rule
     reply: Mailbox
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import doctest
+import faulthandler
 import importlib
 import pkgutil
 import sys
@@ -13,6 +14,8 @@
 from tests import actors, adapter, command, crowd, fleet, handover, legacy, upgrade
 from tests.helper import play, play_sockets, scenarios
 
+HUNG = 180.0  # s for one test, three times what a scene of several processes has
+
 
 def doctested(module) -> None:
     result = doctest.testmod(module)
@@ -39,12 +42,15 @@
 def main() -> int:
     passed = failed = 0
     for title, check in everything():
+        faulthandler.dump_traceback_later(HUNG, exit=True)  # past a test.s own limit
         try:
             check()
             passed += 1
         except Exception as problem:
             failed += 1
             print(f"FAILED {title}\n    {type(problem).__name__}: {problem}")
+        finally:
+            faulthandler.cancel_dump_traceback_later()
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
 
--- a/tests/command.py
+++ b/tests/command.py
@@ -66,6 +66,7 @@
     refuses(told("check", settings=allowed, peers=two[:1]), "peers", "1 addresses for 2 instances")
     refuses(told("check", settings=allowed, peers=two[:1] * 2), "peers", "an address twice")
     refuses(told("check", settings=allowed, peers=["a", "b"]), "peers", "'a' is not an address")
+    refuses(told("check", settings=allowed, peers=["a:1", "b:1"]), "peers", "'a' is not an IP address")
 
 
 def shows_settings_of_the_move_are_checked() -> None:
--- a/tests/handover.py
+++ b/tests/handover.py
@@ -38,7 +38,7 @@
         """As by a kill: nothing more is said, and the lock goes."""
         if self.task:
             self.task.cancel()
-        os.close(self.it._lock)
+        os.close(self.it._folder.lock)
 
 
 def told(mail: Mailbox, kind: type) -> list:
@@ -76,6 +76,23 @@
     in_folder(scene)
 
 
+def shows_a_call_in_the_last_moments_of_a_process_that_ends_cleanly_reaches_the_other() -> None:
+    async def scene(folder: Path) -> None:
+        old = Side()
+        old.serve()
+        new = Side()
+        new.serve()
+        await asyncio.sleep(0.1)
+        await old.call("a", True)
+        await old.it.close()
+        old.die()
+        await asyncio.sleep(0.2)
+        assert [(rule.worker, rule.out) for rule in told(new.desk, Rule)] == [("a", True)]
+        assert [path.suffix for path in next(folder.iterdir()).glob(f"{old.it._token}*")] == []
+
+    in_folder(scene)
+
+
 def shows_cold_turns_pass_to_the_younger_once_it_serves_and_back_when_it_dies() -> None:
     async def scene(folder: Path) -> None:
         old = Side()
--- a/tests/upgrade.py
+++ b/tests/upgrade.py
@@ -56,6 +56,7 @@
         self.answers: dict[str, list[int]] = {}
         self.unheard = self.lost = 0
         self.going, self.mute, self.leaving = True, False, ""
+        self.took: list[tuple[float, float]] = []  # when a txn was sent, and how long its answer took, s
         self.processes: list[asyncio.subprocess.Process] = []
 
     async def begin(self, workers: str) -> None:
@@ -133,6 +134,7 @@
             head = f"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {txn}\r\nX-Service-Class: commit\r\n"
             head += "X-Time-Left: 3000m\r\nContent-Length: 2\r\n\r\nhi"
             answers = self.answers[txn] = []
+            sent_at = time.monotonic()
             for _ in range(2):
                 try:
                     line = line or await asyncio.open_connection(host, int(where))
@@ -148,6 +150,7 @@
                     self.lost += 1
                     break
             if said:
+                self.took.append((sent_at, time.monotonic() - sent_at))
                 answers.append(int(said.split()[1]))
                 await line[0].readexactly(int(field(said, b"content-length")))
                 if b"connection: close" in said.lower():
@@ -157,24 +160,28 @@
 
     # The scheduler's processes
 
-    async def start(self, wait: bool = True, **changed: object) -> tuple[asyncio.subprocess.Process, str]:
-        """One more process with a second address of its own; its yes is waited for."""
+    async def start(
+        self, wait: bool = True, slow: dict[str, str] | None = None, log: int | None = None, **changed: object
+    ) -> tuple[asyncio.subprocess.Process, str]:
+        """One more process with a second address of its own; its yes is waited for. `slow`: as tests/slow.py
+        takes it, for one whose disk is."""
         door = port("127.0.8.4")
         path = self.file
         if changed:
             path = self.folder / f"other-{len(self.processes)}.json"
             path.write_text(json.dumps({k: v for k, v in (self.berth | changed).items() if v is not None}))
-        env = os.environ | {"TMPDIR": str(self.folder), "BALANCER_CONSOLE": door}
-        log = (self.folder / f"{len(self.processes)}.log").open("wb")
+        env = os.environ | {"TMPDIR": str(self.folder), "BALANCER_CONSOLE": door} | (slow or {})
+        env["PYTHONFAULTHANDLER"] = "1"  # says its stacks where a scene hangs
+        file = (self.folder / f"{len(self.processes)}.log").open("wb")
         process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "sableford", "serve", "--config", str(path)),
+            *(sys.executable, "-m", "tests.slow" if slow else "sableford", "serve", "--config", str(path)),
             env=env,
-            stdout=log,
+            stdout=log or file,
             stderr=asyncio.subprocess.PIPE,
         )
-        log.close()
+        file.close()
         self.processes.append(process)
-        async with asyncio.timeout(6.0):
+        async with asyncio.timeout(12.0 if slow else 6.0):
             while wait and await self.call(door, "GET /healthcheck") != 200:
                 assert process.returncode is None, process.returncode
                 await asyncio.sleep(0.02)
@@ -202,23 +209,43 @@
                 process.kill()
                 await process.wait()
 
+    async def stacks(self) -> str:
+        """Where each process that still runs stands, and the scene's own tasks."""
+        said = [str(task) for task in asyncio.all_tasks()]
+        for process in self.processes:
+            if process.returncode is None:
+                process.send_signal(signal.SIGABRT)
+                said.append((await process.stderr.read()).decode())
+        return "\n".join(said)
+
     def told(self) -> str:
         """What the processes said of it."""
         logs = "".join(path.read_text() for path in sorted(self.folder.glob("*.log")))
         last = {name: round(max(seen, default=0.0) - time.monotonic(), 2) for name, seen in self.seen.items()}
         return f"{last}\n{logs}"
 
+    def slowest(self, since: float) -> float:
+        return max(took for at, took in self.took if at >= since)
+
     def sent(self, worker: str, since: float) -> int:
         return sum(at > since for at in self.seen[worker])
 
 
+LIMIT = 60.0  # s for one scene; the longest takes some 15
+
+
 def played(scene) -> None:
     async def play() -> None:
         with tempfile.TemporaryDirectory() as folder:
             town = Town(folder)
             try:
-                await town.begin("ABC")
-                await scene(town)
+                async with asyncio.timeout(LIMIT) as limit:
+                    await town.begin("ABC")
+                    await scene(town)
+            except TimeoutError:
+                if limit.expired():
+                    raise AssertionError(f"hung: {await town.stacks()}") from None
+                raise
             finally:
                 await town.end()
 
@@ -322,3 +349,53 @@
         await town.term(third)
 
     played(scene)
+
+
+def shows_a_disk_that_takes_five_seconds_a_call_holds_up_no_txn_call_reload_or_end() -> None:
+    async def scene(town: Town) -> None:
+        old, door = await town.start(slow={"SLOW_MS": "5000"})
+        clients = await loaded(town)
+        await asyncio.sleep(1.0)
+        old.send_signal(signal.SIGUSR1)
+        slow_at = time.monotonic()
+        await asyncio.sleep(1.5)  # the word of each second is under way by now
+        for call, times in (("GET /healthcheck", 3), ("POST /workers/A/maint", 1)):
+            for _ in range(times):
+                asked = time.monotonic()
+                assert await town.call(door, call) == 200
+                assert time.monotonic() - asked < 0.8, call  # a caller waits a second
+        out_at = time.monotonic() + GRACE
+        old.send_signal(signal.SIGHUP)
+        # The new version's disk is as slow in its place: it says yes once it has read what holds.
+        new, other = await town.start(slow={"SLOW_MS": "400", "SLOW_AT": "start"})
+        await asyncio.sleep(3.0)
+        assert town.slowest(slow_at) < 1.0, (town.slowest(slow_at), town.told())
+        assert not town.sent("A", out_at)
+        asked = time.monotonic()
+        await town.term(old)
+        assert time.monotonic() - asked < 4.0
+        assert await town.call(other, "GET /healthcheck") == 200
+        await settled(town, clients)
+        await town.term(new)
+
+    played(scene)
+
+
+def shows_a_log_that_nobody_reads_holds_up_nobody() -> None:
+    async def scene(town: Town) -> None:
+        reads, writes = os.pipe()
+        held = os.set_blocking(writes, False) or 0
+        with suppress(BlockingIOError):  # full from the first line on
+            while True:
+                held += os.write(writes, b"x" * 4096)
+        os.set_blocking(writes, True)
+        process, door = await town.start(log=writes)
+        clients = await loaded(town)
+        await asyncio.sleep(1.0)
+        assert town.took and town.slowest(0.0) < 1.0 and await town.call(door, "GET /healthcheck") == 200
+        await settled(town, clients)
+        await town.term(process)
+        os.close(reads)
+        os.close(writes)
+
+    played(scene)
