--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -8,6 +8,8 @@
 import signal
 import socket
 import sys
+from importlib import import_module
+from typing import ClassVar
 
 import click
 
@@ -118,7 +120,21 @@
 )
 
 
-@click.group()
+class _Lazy(click.Group):
+    """Commands that an ordinary start must not pay for are imported when they are called."""
+
+    LATER: ClassVar = {"rig": "sableford.rig.cli"}
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *self.LATER])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name in self.LATER:
+            return getattr(import_module(self.LATER[name]), name)
+        return super().get_command(ctx, name)
+
+
+@click.group(cls=_Lazy)
 def main() -> None:
     """A dispatcher that pushes txns to workers on aged copies of their queue figures."""
 
