--- /dev/null
+++ b/sableford/fleet/record/disk.py
@@ -0,0 +1,95 @@
+"""The one interface through which the record touches a disk, and the real one.
+
+It owns the order of writing, flushing and renaming. Calls may take as long as the disk likes and raise
+OSError; they are made by a hand, never on the loop.
+"""
+
+import os
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Protocol
+
+
+class Disk(Protocol):
+    """One folder of files."""
+
+    def names(self) -> list[str]: ...
+
+    def read(self, name: str) -> bytes: ...
+
+    def append(self, name: str, data: bytes) -> None:
+        """At the end of a file, made where there is none; kept for sure only by `sync`."""
+
+    def sync(self, name: str) -> None: ...
+
+    def write(self, name: str, data: bytes) -> None:
+        """A whole file, kept for sure once this returns: all of it under the name, or what was there
+        before."""
+
+    def note(self, name: str, data: bytes) -> None:
+        """A small file, whole or not at all where only the process dies; nothing is flushed."""
+
+    def remove(self, name: str) -> None: ...
+
+
+class RealDisk:
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self._open: dict[str, int] = {}
+
+    def names(self) -> list[str]:
+        return sorted(entry.name for entry in os.scandir(self._folder) if entry.is_file())
+
+    def read(self, name: str) -> bytes:
+        return (self._folder / name).read_bytes()
+
+    def append(self, name: str, data: bytes) -> None:
+        if name not in self._open:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+            self._open[name] = os.open(self._folder / name, flags, 0o600)
+        while data:
+            data = data[os.write(self._open[name], data) :]
+
+    def sync(self, name: str) -> None:
+        os.fsync(self._open[name])
+
+    def write(self, name: str, data: bytes) -> None:
+        self.close(name)
+        part = self._folder / f"{name}.part"
+        file = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        try:
+            while data:
+                data = data[os.write(file, data) :]
+            os.fsync(file)
+        finally:
+            os.close(file)
+        part.rename(self._folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        folder = os.open(self._folder, os.O_RDONLY | os.O_CLOEXEC)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def note(self, name: str, data: bytes) -> None:
+        part = self._folder / f"{name}.part"
+        part.write_bytes(data)
+        part.rename(self._folder / name)
+
+    def remove(self, name: str) -> None:
+        self.close(name)
+        with suppress(FileNotFoundError):
+            (self._folder / name).unlink()
+
+    def close(self, name: str) -> None:
+        if (file := self._open.pop(name, None)) is not None:
+            os.close(file)
+
+
+opened: Callable[[Path], Disk] = (
+    RealDisk  # what a start uses; the rig's launcher alone lays another one under
+)
