Put the fleet on sockets: actor, seat in the file, calls at the door, fleet show

Need: the cores of membership and record ran in simulated time only. Words of the decision module go through the fleet's letters. A file lock keeps two processes of one scheduler from one folder.

--- a/sableford/fleet/membership/core.py
+++ b/sableford/fleet/membership/core.py
@@ -74,10 +74,10 @@
 
 
 class _Probe:
-    __slots__ = ("asked", "nacks", "name", "number", "until")
+    __slots__ = ("asked", "incarnation", "nacks", "name", "number")
 
-    def __init__(self, name: str, number: int, until: float) -> None:
-        self.name, self.number, self.until = name, number, until
+    def __init__(self, name: str, number: int, incarnation: int) -> None:
+        self.name, self.number, self.incarnation = name, number, incarnation
         self.asked: set[str] = set()
         self.nacks: set[str] = set()
 
@@ -247,7 +247,7 @@
                 name = ""
         self._number += 1
         one = self.others[name]
-        self._probe = _Probe(name, self._number, self._next_at)
+        self._probe = _Probe(name, self._number, self.others[name].incarnation)
         self._direct_at = now + DIRECT * self.health()
         return [Send(name, one.place, self._ping(name))]
 
@@ -281,6 +281,8 @@
         one = self.others.get(probe.name)
         if one is None or one.state not in (State.ALIVE, State.SUSPECT):
             return []
+        if one.incarnation != probe.incarnation:  # it has come back meanwhile
+            return []
         # Helpers that said nothing at all: the fault is likelier here.
         self._fail(len(probe.asked - {probe.name}) > 0 and not probe.nacks)
         return self._suspect(now, one, self.name)
--- a/sableford/fleet/record/disk.py
+++ b/sableford/fleet/record/disk.py
@@ -4,6 +4,7 @@
 OSError; they are made by a hand, never on the loop.
 """
 
+import fcntl
 import os
 from collections.abc import Callable
 from contextlib import suppress
@@ -38,9 +39,18 @@
         self._folder = folder
         folder.mkdir(mode=0o700, parents=True, exist_ok=True)
         self._open: dict[str, int] = {}
+        # Two processes of one scheduler may live at once; the kernel lets go of it at any death.
+        self._lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise
 
     def names(self) -> list[str]:
-        return sorted(entry.name for entry in os.scandir(self._folder) if entry.is_file())
+        return sorted(
+            entry.name for entry in os.scandir(self._folder) if entry.is_file() and entry.name != "lock"
+        )
 
     def read(self, name: str) -> bytes:
         return (self._folder / name).read_bytes()
--- a/sableford/net/berth.py
+++ b/sableford/net/berth.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from sableford.fleet.seat import Seat, read_seat
 from sableford.intake.charter import Charter, amended, read_charter
 from sableford.net import wire
 from sableford.net.hand import Hand
@@ -34,6 +35,7 @@
     filed: tuple[tuple[str, int] | None, ...]  # where to listen, discovery and the console by the file alone
     keys: frozenset[str]  # every key of the file, by its path
     peers: tuple[tuple[str, int], ...] = ()  # all schedulers by position; none where they may not speak
+    fleet: Seat | None = None  # in the fleet; none where that is not switched on
 
     def shared(self, processes: int) -> Limits:
         """What one process has of what is granted to all of them."""
@@ -57,6 +59,7 @@
     settings: msgspec.Raw
     console: str = ""
     peers: list[str] = []
+    fleet: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class Reread(NamedTuple):
@@ -72,8 +75,10 @@
 class Keeper:
     """The file's actor: reads it again when asked, and tells the others what is new in it."""
 
-    def __init__(self, path: str, log: Log, processes: int = 1, talk: bool = False) -> None:
-        self.mail, self._talk, self._hand = Mailbox(), talk, Hand("file")
+    def __init__(
+        self, path: str, log: Log, processes: int = 1, talk: bool = False, fleet: bool = False
+    ) -> None:
+        self.mail, self._talk, self._fleet, self._hand = Mailbox(), talk, fleet, Hand("file")
         self._path, self._log, self._processes = path, log, processes
 
     async def run(self, berth: Berth, others: tuple[Mailbox, ...]) -> None:
@@ -114,6 +119,7 @@
                     ("name", read.name != berth.name),
                     ("listen", read.filed[0] != berth.filed[0]),
                     ("console", read.filed[2] != berth.filed[2]),
+                    ("fleet", read.fleet != berth.fleet),
                     ("registry_mode", read.charter.terms.ask_within != charter.terms.ask_within),
                 )
                 if differs
@@ -128,7 +134,7 @@
 
     def _ask(self) -> None:
         """Read by the hand: a disk that is slow over it holds up nobody."""
-        future = self._hand.do("file", lambda: read_berth(self._path, self._talk))
+        future = self._hand.do("file", lambda: read_berth(self._path, self._talk, self._fleet))
 
         def done(read: asyncio.Future) -> None:
             if not read.cancelled():
@@ -141,8 +147,9 @@
     return problem if isinstance(problem, ValueError) else ValueError(repr(problem))
 
 
-def read_berth(path: str, talk: bool = False) -> Berth:
-    """Read the file; ValueError names the file and the field. Without `talk` no peers are spoken to."""
+def read_berth(path: str, talk: bool = False, fleet: bool = False) -> Berth:
+    """Read the file; ValueError names the file and the field. Without `talk` no peers are spoken to, and
+    without `fleet` there is none."""
     try:
         whole = Path(path).read_bytes()
         text = msgspec.json.decode(whole, type=_Text)
@@ -159,7 +166,15 @@
     except ValueError as problem:
         raise ValueError(f"{path}: peers: {problem}") from problem
     peers = peers if talk else ()
-    charter = charter._replace(terms=charter.terms._replace(tells=bool(peers)))
+    try:
+        seat = read_seat(bytes(text.fleet), text.name) if fleet else None
+    except ValueError as problem:
+        raise ValueError(f"{path}: {problem}") from problem
+    # In a fleet the words of the decisions go with the fleet's own, where the settings allow any.
+    spoken = bool(peers) or (
+        seat is not None and charter.terms.tells and len(seat.peers) == charter.terms.schedulers
+    )
+    charter = charter._replace(terms=charter.terms._replace(tells=spoken))
     try:
         wire.listing(text.known, charter)
     except msgspec.MsgspecError as problem:
@@ -178,7 +193,7 @@
     keys = frozenset(_paths(msgspec.json.decode(whole) | {"known": None}, ""))
     return Berth(
         *(text.name, listen, discovery, console, text.seed, known, charter, limits, size),
-        *(tuple(filed), keys, peers),
+        *(tuple(filed), keys, peers, seat),
     )
 
 
--- a/sableford/net/cli.py
+++ b/sableford/net/cli.py
@@ -20,7 +20,7 @@
 from sableford.net.desk import Desk
 from sableford.net.handover import Handover
 from sableford.net.log import Aside, Log
-from sableford.net.mail import Clock, Leave, Turn
+from sableford.net.mail import Clock, Leave, Mailbox, Turn
 from sableford.net.peers import Peers
 from sableford.net.roster import Roster, first_list, inherited
 
@@ -47,7 +47,7 @@
     return listener
 
 
-async def run(berth: Berth, path: str, log: Log, talk: bool = False) -> int:
+async def run(berth: Berth, path: str, log: Log, talk: bool = False, fleet: bool = False) -> int:
     """Start every actor, and end when the gate has."""
     loop, charter = asyncio.get_running_loop(), berth.charter
     loop.set_exception_handler(
@@ -65,19 +65,24 @@
         first, revision = later, None
     roster = Roster(berth.discovery, revision, limits, charter, log)
     peers = Peers(berth.peers, charter.terms.position, limits, log)
-    desk = Desk(charter, berth.seed, roster.mail, clock, limits, log, peers.mail)
+    doors = Mailbox()
+    one = joined(berth.fleet, berth.seed, clock, limits, log, doors) if berth.fleet is not None else None
+    spoken = one.mail if one is not None else peers.mail
+    desk = Desk(charter, berth.seed, roster.mail, clock, limits, log, spoken, doors)
     gate = Gate(listener, desk.mail, clock, limits, charter, log)
     if handover.on():
         desk.inherit(handover.mail, kept.legacy if kept is not None else None)
-    keeper = Keeper(path, log, processes, talk)
+    keeper = Keeper(path, log, processes, talk, fleet)
     for told in (*rules, Turn(handover.holds()), first):  # lie there before any txn can
         desk.mail.put(told)
-    console = Console(desk.console, handover.mail, clock, limits, log)
+    console = Console(doors, handover.mail, clock, limits, log, one.mail if one is not None else None)
     if berth.console is not None:
         console.open(listening("console", berth.console, berth))
 
     def leave() -> None:
         console.mail.put_first(Leave())
+        if one is not None:
+            one.mail.put(Leave())
         handover.mail.put_first(Leave())  # which tells the gate whether another process serves
 
     for stop in (signal.SIGTERM, signal.SIGINT):
@@ -93,6 +98,8 @@
         loop.create_task(keeper.run(berth, others), name="keeper"): keeper,
         loop.create_task(peers.run(desk.mail), name="peers"): peers,
     }
+    if one is not None:
+        actors[loop.create_task(one.run(desk.mail), name="fleet")] = one
     log.say("serving", listen=berth.listen, console=berth.console, clients=limits.clients, lines=limits.lines)
     done, _ = await asyncio.wait(actors, return_when=asyncio.FIRST_COMPLETED)
     for task in done:
@@ -106,6 +113,11 @@
     return 0
 
 
+def joined(*given: object) -> object:
+    """The fleet's actor, which an ordinary start doesn't pay for."""
+    return import_module("sableford.fleet.actor").Fleet(*given)
+
+
 def _told(problem: ValueError) -> None:
     click.echo(f"sableford: {problem}".replace("\n", " "), err=True)
     sys.exit(BAD_START)
@@ -123,7 +135,7 @@
 class _Lazy(click.Group):
     """Commands that an ordinary start must not pay for are imported when they are called."""
 
-    LATER: ClassVar = {"rig": "sableford.rig.cli"}
+    LATER: ClassVar = {"rig": "sableford.rig.cli", "fleet": "sableford.fleet.cli"}
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted([*super().list_commands(ctx), *self.LATER])
@@ -143,7 +155,8 @@
 @_path
 @click.option("--each-txn", is_flag=True, help="Log each txn's postings and answers too.")
 @click.option("--talk", is_flag=True, help="Speak to the peers that the file names, by UDP.")
-def serve(config: str, each_txn: bool, talk: bool) -> None:
+@click.option("--fleet", is_flag=True, help="Join the fleet that the file names, by UDP.")
+def serve(config: str, each_txn: bool, talk: bool, fleet: bool) -> None:
     """Run one scheduler until SIGTERM.
 
     On SIGHUP the file is read again: discovery's address and the limits take effect at once, a bad file
@@ -151,9 +164,9 @@
     """
     sink = Aside(sys.__stdout__.fileno())
     try:
-        berth = read_berth(config, talk)
+        berth = read_berth(config, talk, fleet)
         gc.freeze()
-        code = asyncio.run(run(berth, config, Log(berth.name, each_txn, sink), talk))
+        code = asyncio.run(run(berth, config, Log(berth.name, each_txn, sink), talk, fleet))
     except ValueError as problem:
         _told(problem)
     finally:
@@ -164,10 +177,11 @@
 @main.command()
 @_path
 @click.option("--talk", is_flag=True, help="As it would be read for `serve --talk`.")
-def check(config: str, talk: bool) -> None:
+@click.option("--fleet", is_flag=True, help="As it would be read for `serve --fleet`.")
+def check(config: str, talk: bool, fleet: bool) -> None:
     """Read a configuration and say what was understood, or what is wrong."""
     try:
-        berth = read_berth(config, talk)
+        berth = read_berth(config, talk, fleet)
     except ValueError as problem:
         _told(problem)
     charter, limits = berth.charter, berth.limits
@@ -179,6 +193,11 @@
         click.echo(
             f"speaks to {len(berth.peers) - 1} peers, listens on {berth.peers[charter.terms.position]}"
         )
+    if berth.fleet is not None:
+        place = berth.fleet.peers[berth.fleet.name]
+        click.echo(
+            f"in a fleet of {len(berth.fleet.peers)}, voters {', '.join(berth.fleet.voters)}, at {place}"
+        )
     click.echo(f"sockets: {limits.clients} for clients, {limits.lines} for workers")
 
 
--- a/sableford/net/console.py
+++ b/sableford/net/console.py
@@ -16,10 +16,10 @@
 from sableford.net.http import Peer, admit
 from sableford.net.limits import Limits
 from sableford.net.log import Log
-from sableford.net.mail import Clock, Known, Leave, Mailbox, Rule, Ruling
+from sableford.net.mail import Asked, Clock, FleetSeen, Known, Leave, Mailbox, Rule, Ruling
 
 GET, POST = (b"GET", b"HEAD"), (b"POST",)
-HEALTH, WORKERS = "healthcheck", "workers"
+HEALTH, WORKERS, FLEET, RECORD = "healthcheck", "workers", "fleet", "record"
 DEEDS = {"maint": True, "ready": False}  # the last word of a call on a worker: whether it is out from then on
 
 
@@ -27,15 +27,20 @@
     status: int
     text: str
     rule: tuple[str, bool] | None = None
+    ask: tuple[str, bool] | None = None  # a key of the record, and whether it is to be set
 
 
 NO_PATH, NO_METHOD = Verdict(404, "no such path"), Verdict(405, "not by this method")
 TOO_LARGE, UNREADABLE = Verdict(413, "too large"), Verdict(400, "can't be read")
+NO_FLEET = Verdict(404, "this scheduler is not in a fleet")
 UP, LEAVING = Verdict(200, "takes clients"), Verdict(503, "leaving")
 
 
-def judge(method: bytes, target: bytes, known: frozenset[str], leaving: bool) -> Verdict:
-    """What one call gets. An id stands in the path percent-encoded, or as the list gives it.
+def judge(
+    method: bytes, target: bytes, known: frozenset[str], leaving: bool, fleet: bytes | None = None
+) -> Verdict:
+    """What one call gets. An id stands in the path percent-encoded, or as the list gives it. `fleet` is how
+    it looks from here, none where there is none.
 
     >>> judge(b"POST", b"/workers/a%2Fb/maint", frozenset({"a/b"}), False).rule
     ('a/b', True)
@@ -54,14 +59,33 @@
                 return Verdict(404, "no such worker")
             out = DEEDS[word]
             return Verdict(200, f"{worker} {'is out' if out else 'may serve'}", (worker, out))
+        case ["", name] if name == FLEET:
+            return (
+                NO_FLEET
+                if fleet is None
+                else NO_METHOD
+                if method not in GET
+                else Verdict(200, fleet.decode())
+            )
+        case ["", first, raw] if first == RECORD and raw:
+            return NO_FLEET if fleet is None else Verdict(200, "", ask=(unquote(raw), method in POST))
     return NO_PATH
 
 
 class Console:
     """Accepts callers; with too many the one that has been there longest without an answer goes."""
 
-    def __init__(self, mail: Mailbox, handover: Mailbox, clock: Clock, limits: Limits, log: Log) -> None:
+    def __init__(
+        self,
+        mail: Mailbox,
+        handover: Mailbox,
+        clock: Clock,
+        limits: Limits,
+        log: Log,
+        fleet: Mailbox | None = None,
+    ) -> None:
         self.mail = mail
+        self._fleet, self._picture = fleet, b"{}" if fleet is not None else None
         self._handover, self._clock, self._limits, self._log = handover, clock, limits, log
         self._listener: socket.socket | None = None
         self._known: frozenset[str] = frozenset()
@@ -79,6 +103,8 @@
                     match message:
                         case Known(workers):
                             self._known = workers
+                        case FleetSeen(text):
+                            self._picture = text
                         case Leave():
                             self._leaving = True
         finally:
@@ -130,9 +156,10 @@
             else:
                 sock.close()
 
-    async def _hear(self, peer: Peer) -> tuple[Verdict, bool] | None:
-        """One whole call's verdict, and whether no body is wanted; none where the caller ends without one."""
-        head, size = None, 0
+    async def _hear(self, peer: Peer) -> tuple[Verdict, bool, bytes] | None:
+        """One whole call's verdict, whether no body is wanted, and the call's; none where the caller ends
+        without one."""
+        head, body = None, bytearray()
         try:
             while not isinstance(event := await peer.event(), h11.EndOfMessage):
                 if isinstance(event, h11.ConnectionClosed):
@@ -142,14 +169,34 @@
                     if peer.state.they_are_waiting_for_100_continue:
                         peer.write(h11.InformationalResponse(status_code=100, headers=[]))
                 elif isinstance(event, h11.Data):
-                    size += len(event.data)
-                    if size > self._limits.call_size:
-                        return TOO_LARGE, False
+                    body += event.data
+                    if len(body) > self._limits.call_size:
+                        return TOO_LARGE, False, b""
         except h11.RemoteProtocolError as problem:
-            return (TOO_LARGE if problem.error_status_hint == 431 else UNREADABLE), False
-        return judge(head.method, head.target, self._known, self._leaving), head.method == b"HEAD"
-
-    async def _answer(self, peer: Peer, verdict: Verdict, bare: bool) -> None:
+            return (TOO_LARGE if problem.error_status_hint == 431 else UNREADABLE), False, b""
+        verdict = judge(head.method, head.target, self._known, self._leaving, self._picture)
+        return verdict, head.method == b"HEAD", bytes(body)
+
+    async def _agree(self, key: str, value: bytes | None) -> Verdict:
+        """A call on the record: no is sure where it says so; nothing in time may be agreed on yet."""
+        reply = Mailbox()
+        self._fleet.put(Asked(key, value, reply))
+        answer = await reply.take(self._limits.agreed)
+        if not answer:
+            return Verdict(503, "not agreed on in time; it may be yet")
+        yes, index, what = answer[0]
+        if not yes:
+            return Verdict(409, f"no: {what}")
+        if value is not None:
+            return Verdict(200, f"entry {index}")
+        return (
+            Verdict(200, what.decode("utf-8", "replace")) if what is not None else Verdict(404, "no such key")
+        )
+
+    async def _answer(self, peer: Peer, verdict: Verdict, bare: bool, sent: bytes) -> None:
+        if verdict.ask is not None:
+            key, sets = verdict.ask
+            verdict = await self._agree(key, sent if sets else None)
         text = verdict.text
         if verdict.rule is not None:  # written before the yes: a kill right after it ends no ban
             reply = Mailbox()
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -86,8 +86,9 @@
         limits: Limits,
         log: Log,
         peers: Mailbox | None = None,
+        console: Mailbox | None = None,
     ) -> None:
-        self.mail, self.console = Mailbox(), Mailbox()
+        self.mail, self.console = Mailbox(), console or Mailbox()
         self._charter, self._seed, self._starts = charter, seed, 0
         self._roster, self._clock, self._limits, self._log = roster, clock, limits, log
         self._peers = peers  # none: nobody to speak to
--- a/sableford/net/limits.py
+++ b/sableford/net/limits.py
@@ -46,6 +46,7 @@
     yields: float = 1000.0  # after SIGTERM with another process serving, resting connections go
     call_in: float = 2000.0  # for a caller at the console from connecting to the end of its call
     call_size: int = 4096  # of a call's body, which says nothing
+    agreed: float = 1500.0  # for the fleet to agree on what a caller asked of the record
     callers: int = CALLERS
     linger: float = 1000.0  # reading on after an answer that cut a request short, lest a reset overtake it
     tail: float = 1000.0  # for a worker to end its stream after the last line
--- a/sableford/net/mail.py
+++ b/sableford/net/mail.py
@@ -215,9 +215,27 @@
     processes: int
 
 
+# To the fleet
+
+
+class Asked(NamedTuple):
+    """A key of the record to be set to `value`, or read where there is none; `reply` gets (held, entry,
+    value or why not)."""
+
+    key: str
+    value: bytes | None
+    reply: Mailbox
+
+
 # To the console
 
 
+class FleetSeen(NamedTuple):
+    """How the fleet looks from here, as JSON."""
+
+    text: bytes
+
+
 class Known(NamedTuple):
     """Every worker that has been listed or is out by hand."""
 
--- a/sableford/rig/nodes.py
+++ b/sableford/rig/nodes.py
@@ -40,7 +40,10 @@
         self.file.write_bytes(msgspec.json.encode(self._berth | {"known": known}))
         env = os.environ | {"TMPDIR": str(self.folder), "RIG": msgspec.json.encode(self.laid).decode()}
         env["PYTHONFAULTHANDLER"] = "1"
-        flags = [*(("--talk",) if self._berth.get("peers") else ()), "--config", str(self.file)]
+        flags = [
+            flag for flag, field in (("--talk", "peers"), ("--fleet", "fleet")) if self._berth.get(field)
+        ]
+        flags += ["--config", str(self.file)]
         module = "sableford.rig.launch" if self.laid else "sableford"
         with self.log.open("ab") as log, (self.home / "errors").open("ab") as errors:
             self.process = await asyncio.create_subprocess_exec(
--- a/sableford/rig/ways.py
+++ b/sableford/rig/ways.py
@@ -173,56 +173,6 @@
         raise NotImplementedError
 
 
-class Relay(Wire):
-    """TCP between two processes: bytes from one go on to the other, both ways through the ways between."""
-
-    def __init__(self, ways: Ways, start: str, end: str, place: tuple[str, int]) -> None:
-        super().__init__(ways, end, start)  # it stands for the far end
-        self._place, self._far, self._early = place, None, []
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self._task = asyncio.get_running_loop().create_task(self._dial())
-
-    async def _dial(self) -> None:
-        try:
-            _, self._far = await asyncio.get_running_loop().create_connection(
-                lambda: _FarEnd(self), *self._place
-            )
-        except OSError:
-            self.abort()
-            return
-        for data in self._early:
-            self.hear(data)
-
-    def connection_lost(self, problem: Exception | None) -> None:
-        super().connection_lost(problem)
-        if self._far is not None:
-            self._far.transport.abort() if problem else self._far.transport.close()
-
-    def hear(self, data: bytes | None) -> None:
-        if self._far is None:
-            self._early.append(data)
-        elif data is None:
-            self._far.transport.close()
-        elif not self._far.transport.is_closing():
-            self._far.transport.write(data)
-
-
-class _FarEnd(asyncio.Protocol):
-    def __init__(self, relay: Relay) -> None:
-        self._relay, self.transport = relay, None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        self._relay.say(data)
-
-    def connection_lost(self, problem: Exception | None) -> None:
-        self._relay.abort() if problem else self._relay.finish()
-
-
 class _Ear(asyncio.DatagramProtocol):
     """What one says to the other's address here leaves from the address at which the other knows the one."""
 
--- a/sableford/rig/world.py
+++ b/sableford/rig/world.py
@@ -18,7 +18,7 @@
 from sableford.rig.nodes import COPIES, Node
 from sableford.rig.plan import Fault, Plan
 from sableford.rig.standins import PORT, Agent, AgentLine, Crowd, Hours, Worker, WorkerLine
-from sableford.rig.ways import Relay, Ways, relay_packets
+from sableford.rig.ways import Ways, relay_packets
 
 DOOR, PEERS, LIST, FLEET = 9901, 7000, 8500, 7100  # ports, each on a host of its own
 LATE = 400.0  # ms: past this the rig's own lateness spoils what it says
@@ -112,8 +112,8 @@
             self._servers.append(
                 await loop.create_server(lambda s=scheduler: AgentLine(self.agent, s), host, LIST)
             )
-        told = await self._between(PEERS, False) if self.plan.talk else {}
-        fleet = await self._between(FLEET, True) if self.plan.fleet else {}
+        told = await self._between(PEERS) if self.plan.talk and not self.plan.fleet else {}
+        fleet = await self._between(FLEET) if self.plan.fleet else {}
         for at, name in enumerate(names):
             host = self.hosts[name]
             berth = {"name": name, "listen": f"{host}:{PORT}", "discovery": f"{host}:{LIST}"}
@@ -130,9 +130,9 @@
             self.nodes[name] = Node(name, self.root, berth, self.ledger, self.hours)
         await asyncio.gather(*(node.start(self.agent.whole(node.name)) for node in self.nodes.values()))
 
-    async def _between(self, port: int, streams: bool) -> dict[tuple[str, str], tuple[str, int]]:
+    async def _between(self, port: int) -> dict[tuple[str, str], tuple[str, int]]:
         """Where each scheduler finds each: itself at home, another at a relay between the two."""
-        loop, names = asyncio.get_running_loop(), list(self.hosts)
+        names = list(self.hosts)
         real = {name: (host, port) for name, host in self.hosts.items()}
         at = {(name, name): real[name] for name in names}
         for one, name in enumerate(names):
@@ -142,13 +142,6 @@
         for one, name in enumerate(names):
             for other in names[one + 1 :]:
                 self._servers += await relay_packets(self.ways, name, other, real, at)
-            for other in names if streams else ():
-                if other != name:
-                    self._servers.append(
-                        await loop.create_server(
-                            lambda a=name, b=other: Relay(self.ways, a, b, real[b]), *at[name, other]
-                        )
-                    )
         return at
 
     async def _open(self, worker: Worker) -> None:
