Show membership and record by trial, walks and all orders of a small model

Need: the cores' promises seen to hold, and the checks seen to catch mistakes. fleet/record/explore.py goes through every order of words, flushes, crashes and elections of a small model and finds four planted mistakes, each with the way there: a vote without a look at the log, a vote and an acknowledgement said before they are on disk, entries taken from a leader of an earlier term. A fifth (counting earlier terms' entries) can't be reached in the model, since a leader sends them with one of its own; a plain test has it. A torn, cut or changed byte at every place of a folder never gives another entry, and is never taken for one that was not written.

--- a/sableford/fleet/actor.py
+++ b/sableford/fleet/actor.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import socket
+import traceback
 from collections import deque
 from contextlib import suppress
 from pathlib import Path
@@ -95,6 +96,23 @@
         self._said: str = ""
 
     async def run(self, desk: Mailbox) -> None:
+        """Until the process ends. A failure in here ends the fleet's part alone: txns owe nothing to it."""
+        try:
+            await self._run(desk)
+        except Exception as problem:
+            self._log.say("fleet_failed", problem=repr(problem), at=_where(problem))
+            if self._line is not None:
+                self._line.close()
+            for reply in self._replies.values():
+                reply.put((False, 0, "the fleet's part has failed"))
+            told = {"name": self._seat.name, "failed": repr(problem)}
+            self._console.put(FleetSeen(msgspec.json.encode(told)))
+        while True:
+            for message in await self.mail.take():
+                if isinstance(message, Asked):
+                    message.reply.put((False, 0, "the fleet's part has failed"))
+
+    async def _run(self, desk: Mailbox) -> None:
         while True:
             for message in await self.mail.take(self._within()):
                 now = self._clock.now()
@@ -351,6 +369,12 @@
         return told | {"disk": self._disk, "passed_over": dict(self._post.passed_over)}
 
 
+def _where(problem: Exception) -> str:
+    """The line that raised it."""
+    last = traceback.extract_tb(problem.__traceback__)[-1]
+    return f"{Path(last.filename).name}:{last.lineno}"
+
+
 class _Reading:
     """Takes a read's answer and passes on the value that stood there by then."""
 
--- a/sableford/fleet/cli.py
+++ b/sableford/fleet/cli.py
@@ -40,6 +40,8 @@
     """A line for the process that was asked, one for each other, one for the record."""
     if "name" not in told:
         return ["not in the fleet yet: its address is not free"]
+    if "failed" in told:
+        return [f"{told['name']}: the fleet's part has failed: {told['failed']}"]
     record = told.get("record", {})
     voters = record.get("voters", {})
     lines = [f"{'member':12} {'state':8} {'for s':>8} {'incarnation':>11} {'record':>8}  votes, suspected by"]
--- a/sableford/fleet/membership/core.py
+++ b/sableford/fleet/membership/core.py
@@ -21,6 +21,8 @@
 DOUBT = 3.0  # a suspicion that nobody confirms lasts so many times as long
 CONFIRMED = 3  # so many others make a suspicion as short as it gets
 MOST_LATE = 8  # of the local health's score; Lifeguard's figure
+MOST_LOSSY = 3  # suspicions last up to four times as long where ways lose; longer would hide the dead
+SOUND = 4  # answers in a row without help for one step back
 CARRIED = 6  # news beside one word: 300 bytes
 SAID = 3  # times log2 of the members: how often one piece of news is passed on; SWIM's lambda
 SYNC = 10  # periods between two exchanges with somebody at random
@@ -95,6 +97,7 @@
         self._listed = dict(peers)
         self.newest = 0  # how far the own record is
         self.late = 0  # Lifeguard's local health: 0 is well
+        self._lossy = self._direct = 0  # how the ways are, and answers in a row that needed no help
         self._number = 0
         self._turns: list[str] = []
         self._probe: _Probe | None = None
@@ -265,8 +268,13 @@
         probe = self._probe
         if probe is not None and probe.number == number and sender in (probe.name, *probe.asked):
             self._probe = None
-            # An answer that needed help is a way that loses: all get longer, as from one that is late.
-            self._fail(1 if probe.asked else -1)
+            self._fail(-1)
+            # An answer that needed help is a way that loses, and a refutation may be lost there too.
+            self._direct = 0 if probe.asked else self._direct + 1
+            if probe.asked:
+                self._lossy = min(MOST_LOSSY, self._lossy + 1)
+            elif self._direct % SOUND == 0:
+                self._lossy = max(0, self._lossy - 1)
         if (asked := self._relayed.pop(number, None)) is not None:
             asker, theirs, _ = asked
             if (one := self.others.get(asker)) is not None:
@@ -304,7 +312,7 @@
 
     def _end(self, one: Member) -> float:
         """When the suspicion becomes death: the sooner, the more others confirm it."""
-        least = SUSPECTED * max(1.0, log10(len(self.others) + 1)) * self.health()
+        least = SUSPECTED * max(1.0, log10(len(self.others) + 1)) * (self.health() + self._lossy)
         need = max(1, min(CONFIRMED, len(self.others) - 2))
         confirmed = min(need, len(one.by) - 1)
         part = log(confirmed + 1) / log(need + 1)
@@ -343,11 +351,10 @@
         known = birth in one.heard
         one.heard.setdefault(birth, now)
         if len(one.heard) > 1 and known:
-            later = max(at for other, at in one.heard.items() if other != birth)
+            later, other = max((at, other) for other, at in one.heard.items() if other != birth)
             if later > one.heard[birth] and now - later > TWINS:
-                births = (min(one.heard), max(one.heard))
                 one.heard = {birth: now}
-                return [Twin(one.name, births)]
+                return [Twin(one.name, (min(birth, other), max(birth, other)))]
         if len(one.heard) > 4:
             one.heard = {birth: now}
         return []
--- a/sableford/fleet/record/core.py
+++ b/sableford/fleet/record/core.py
@@ -401,6 +401,8 @@
     def _stand(self, now: float) -> list[Effect]:
         """Asked first, so that nobody's term grows by one that could not win."""
         self._due_at = self._election(now)
+        if not self.bound() and len(self._hails) + 1 < len(self._names):
+            return []  # who leads first names all voters' folders
         self._pre, self._stood, self.leader = True, {self.name: True}, ""
         word = Vote(self.id, self.term + 1, self.last, self.term_at(self.last), True)
         return self._ask(word) or self._count(now)
@@ -679,8 +681,9 @@
         if self.standing is Standing.NO_DISK:
             # What it holds in memory was never in doubt; only a new process has to ask how far it was.
             out += self._stands(self._was, "its disk takes it again")
-            self._hails.clear()
-            self._hail_from = self._hail_at = now
+            if self.standing in (Standing.NEW, Standing.HAILING):
+                self._hails.clear()
+                self._hail_from = self._hail_at = now
         if self.standing is Standing.MAIMED and self._regained():
             self._lost = None
             out += self._keep(self._whole()) + self._stands(Standing.SOUND, "it has fetched what it lost")
--- a/sableford/fleet/record/disk.py
+++ b/sableford/fleet/record/disk.py
@@ -95,6 +95,10 @@
         with suppress(FileNotFoundError):
             (self._folder / name).unlink()
 
+    def release(self) -> None:
+        """Another process may have the folder."""
+        os.close(self._lock)
+
     def close(self, name: str) -> None:
         if (file := self._open.pop(name, None)) is not None:
             os.close(file)
--- /dev/null
+++ b/sableford/fleet/record/explore.py
@@ -0,0 +1,256 @@
+"""All orders of a small model of the record: three voters, a few elections, offers and crashes.
+
+It owns the model's bounds and its states. The cores are the real ones; words may be late for ever, which is
+a loss, and be said in any order, each disk keeps what it was given in order, one call at a time, and a
+crash loses what it has not. A question whether one may lead (pre-vote) and the hails after a start are
+exchanged at once, since neither leaves anything behind.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from copy import copy
+from typing import NamedTuple
+
+import msgspec
+
+from sableford.fleet.record import core as decided
+from sableford.fleet.record.core import Add, Cut, Held, Meta, Record, Said, Settled, Standing, Whole, put
+from sableford.fleet.record.words import Append, Appended, Entry, Hail, Hailed, Kind, Vote, Voted
+
+NAMES = ("a", "b", "c")
+FAR = 100_000.0  # ms between two steps in which time passes: every wait is over
+FIRST = Entry(1, Kind.VOTERS, data=msgspec.msgpack.encode({name: f"id-{name}" for name in NAMES}))
+
+
+class Wrong(AssertionError):
+    """What must hold did not; the message has the steps that led there."""
+
+
+class Bounds(NamedTuple):
+    """`stands` names who stands for leader, in this order and at any time: the names are alike, so few
+    orders cover all. `slow` disks keep what they are given at any later time, others at once."""
+
+    stands: str = "ac"
+    offers: int = 1
+    crashes: str = ""  # who crashes, each once at any time
+    slow: str = ""  # whose disk
+    states: int = 20_000
+
+
+class _Used(NamedTuple):
+    stands: int = 0
+    offers: int = 0
+    crashes: str = ""
+
+
+class _Still:
+    """No chance: each wait is as long as it may be, at the least."""
+
+    def random(self) -> float:
+        return 0.0
+
+    def choice(self, things: list) -> object:
+        return things[0]
+
+    def uniform(self, low: float, high: float) -> float:
+        return low
+
+    def getrandbits(self, bits: int) -> int:
+        return 7
+
+
+class State:
+    """One state of the model; `steps` is how it came about."""
+
+    def __init__(self, make: Callable[..., Record], bounds: Bounds) -> None:
+        self._make, self._bounds = make, bounds
+        self.now = 0.0
+        self.disks: dict[str, tuple[Meta, tuple[Entry, ...]]] = dict.fromkeys(NAMES, (Meta(1, ""), (FIRST,)))
+        self.queues: dict[str, tuple] = dict.fromkeys(NAMES, ())  # (number, deeds) not yet on disk
+        self.words: tuple = ()  # (from, to, word)
+        self.agreed: dict[int, Entry] = {}
+        self.led: dict[int, str] = {}
+        self.used = _Used()
+        self.births = 0
+        self.cores: dict[str, Record] = {}
+        self.steps: tuple[str, ...] = ()
+        for name in NAMES:
+            self.cores[name] = self._core(name)
+        for name in NAMES:
+            self._hail(name)
+
+    def _core(self, name: str) -> Record:
+        meta, entries = self.disks[name]
+        self.births += 1
+        held = Held(f"id-{name}", meta.term, meta.vote, entries=entries)
+        core = self._make(name, self.births, NAMES, held, self.now, 0)
+        core._draw = _Still()
+        return core
+
+    def _hail(self, name: str) -> None:
+        self.now += FAR
+        self.do(name, self.cores[name].tick(self.now))
+
+    def clone(self, step: str) -> "State":
+        new = copy(self)
+        new.disks, new.queues = dict(self.disks), dict(self.queues)
+        new.agreed, new.led = dict(self.agreed), dict(self.led)
+        new.cores = {name: _clone(core) for name, core in self.cores.items()}
+        new.steps = (*self.steps, step)
+        return new
+
+    def key(self) -> tuple:
+        """What two states are alike in where they can only go on alike."""
+        cores = tuple(
+            (
+                *(core.term, core.vote, core.leads, core.commit, core.durable, core.standing, core._pre),
+                tuple(core.entries),
+                tuple(sorted(core._stood.items())),
+                tuple((one.next, one.match) for one in core._followers.values()) if core.leads else (),
+                tuple(number - core._stores for number, _ in core._waiting),
+            )
+            for core in self.cores.values()
+        )
+        queues = tuple(tuple(deeds for _, deeds in queue) for queue in self.queues.values())
+        return cores, queues, frozenset(self.words), tuple(self.disks.values()), self.used
+
+    # What happens
+
+    def do(self, name: str, effects: list) -> None:
+        for effect in effects:
+            match effect:
+                case decided.Store(number, deeds):
+                    self.queues[name] = (*self.queues[name], (number, deeds))
+                    if name not in self._bounds.slow:
+                        self.keep(name)
+                case decided.Send(to, word):
+                    self._send(name, to, word)
+                case Settled(index, entry, _):
+                    if self.agreed.setdefault(index, entry) != entry:
+                        raise Wrong(f"entry {index} settled twice")
+                case Said("record_leader", {"leader": leader, "term": term}) if leader == name:
+                    if self.led.setdefault(term, name) != name:
+                        raise Wrong(f"two lead term {term}")
+
+    def _send(self, name: str, to: str, word: object) -> None:
+        at_once = isinstance(word, Hail | Hailed) or (isinstance(word, Vote | Voted) and word.pre)
+        if at_once:
+            if to in self.cores:
+                self.do(to, self.cores[to].heard(self.now, name, 0, word))
+        else:
+            if isinstance(word, Append | Appended):  # rounds are for reads, which are not part of the model
+                word = msgspec.structs.replace(word, round=0)
+            if (name, to, word) not in self.words:
+                self.words = (*self.words, (name, to, word))
+
+    def prune(self) -> None:
+        """Words that can change nothing any more are as good as lost."""
+        self.words = tuple(word for word in self.words if self._matters(*word))
+
+    def _matters(self, start: str, to: str, word: object) -> bool:
+        core = self.cores[to]
+        match word:
+            case Vote():
+                return word.term > core.term or (word.term == core.term and core.vote in ("", start))
+            case Voted():
+                counts = word.yes and word.term == core.term and bool(core._stood) and not core.leads
+                return counts or word.term > core.term
+            case Appended():
+                return word.term > core.term or (core.leads and word.term == core.term)
+        return True
+
+    def steps_from(self, bounds: Bounds) -> Iterator[tuple[str, Callable[["State"], None]]]:
+        """Everything that may happen next."""
+        used = self.used
+        for at, (start, to, word) in enumerate(self.words):
+            kind = type(word).__name__
+            yield f"{to} hears {kind} of {start}: {word}", lambda it, at=at: it.deliver(at)
+        for name in NAMES:
+            if self.queues[name]:
+                yield f"{name}'s disk keeps", lambda it, name=name: it.keep(name)
+            if bounds.stands[used.stands : used.stands + 1] == name and not self.cores[name].leads:
+                yield f"{name} stands", lambda it, name=name: it.stand(name)
+            if used.offers < bounds.offers and self.cores[name].leads:
+                yield f"{name} is offered something", lambda it, name=name: it.offer(name)
+            if name in bounds.crashes and name not in used.crashes:
+                yield f"{name} crashes and starts", lambda it, name=name: it.crash(name)
+
+    def deliver(self, at: int) -> None:
+        start, to, word = self.words[at]
+        self.words = self.words[:at] + self.words[at + 1 :]
+        self.do(to, self.cores[to].heard(self.now, start, 0, word))
+
+    def keep(self, name: str) -> None:
+        (number, deeds), *rest = self.queues[name]
+        self.queues[name] = tuple(rest)
+        meta, entries = self.disks[name]
+        for deed in deeds:
+            match deed:
+                case Meta():
+                    meta = deed
+                case Add(index, entry):
+                    entries = (*entries[: index - 1], entry)
+                case Cut(index):
+                    entries = entries[:index]
+                case Whole(_, meta, _, _, _, entries, _):
+                    pass
+        self.disks[name] = meta, entries
+        self.do(name, self.cores[name].stored(self.now, number))
+
+    def stand(self, name: str) -> None:
+        self.used = self.used._replace(stands=self.used.stands + 1)
+        self.now += FAR
+        core = self.cores[name]
+        core._last_tick, core._due_at = self.now, self.now
+        self.do(name, core.tick(self.now))
+
+    def offer(self, name: str) -> None:
+        self.used = self.used._replace(offers=self.used.offers + 1)
+        _, effects = self.cores[name].offer(self.now, put("k", b"%d" % self.used.offers))
+        self.do(name, effects)
+
+    def crash(self, name: str) -> None:
+        self.used = self.used._replace(crashes="".join(sorted(self.used.crashes + name)))
+        self.queues[name] = ()
+        self.cores[name] = self._core(name)
+        self._hail(name)
+
+
+def _clone(core: Record) -> Record:
+    new = copy(core)
+    for field, value in core.__dict__.items():
+        if isinstance(value, list | dict | deque):
+            new.__dict__[field] = copy(value)
+    new._followers = {name: copy(one) for name, one in core._followers.items()}
+    new._offers = {number: copy(one) for number, one in core._offers.items()}
+    new.machine = copy(core.machine)
+    new.machine.values, new.machine.taken = (
+        dict(core.machine.values),
+        {author: dict(taken) for author, taken in core.machine.taken.items()},
+    )
+    return new
+
+
+def explore(bounds: Bounds, make: Callable[..., Record] = Record) -> tuple[int, bool]:
+    """How many different states were seen, breadth first, and whether those are all there are. Raises Wrong
+    with the shortest way to a state that must not be."""
+    first = State(make, bounds)
+    if any(core.standing is not Standing.SOUND for core in first.cores.values()):
+        raise Wrong("the voters do not come up")
+    seen, waiting = {first.key()}, deque([first])
+    while waiting:
+        state = waiting.popleft()
+        for step, deed in state.steps_from(bounds):
+            new = state.clone(step)
+            try:
+                deed(new)
+            except AssertionError as problem:
+                raise Wrong("\n".join((str(problem), *new.steps))) from problem
+            new.prune()
+            key = new.key()
+            if key not in seen:
+                if len(seen) >= bounds.states:
+                    return len(seen), False
+                seen.add(key)
+                waiting.append(new)
+    return len(seen), True
--- a/sableford/rig/launch.py
+++ b/sableford/rig/launch.py
@@ -25,6 +25,11 @@
     if given.clock_ms:
         real, off = time.time, given.clock_ms / 1000.0
         time.time = lambda: real() + off
+    if given.disk:
+        from sableford.fleet.record import disk
+        from sableford.rig.disk import LyingDisk
+
+        disk.opened = lambda folder: LyingDisk(given.disk, given.seed, folder)
     from sableford.net.cli import main as program
 
     program()
--- a/sableford/rig/world.py
+++ b/sableford/rig/world.py
@@ -112,6 +112,7 @@
             self._servers.append(
                 await loop.create_server(lambda s=scheduler: AgentLine(self.agent, s), host, LIST)
             )
+        self.doors = {name: (host, DOOR) for name, host in self.hosts.items()}
         told = await self._between(PEERS) if self.plan.talk and not self.plan.fleet else {}
         fleet = await self._between(FLEET) if self.plan.fleet else {}
         for at, name in enumerate(names):
--- /dev/null
+++ b/tests/record.py
@@ -0,0 +1,211 @@
+"""Plain asserts on the record: all orders of a small model, walks in simulated time, and damaged folders."""
+
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+from sableford.fleet.record import core as decided
+from sableford.fleet.record.core import Add, Meta, Record, Send, Whole, put
+from sableford.fleet.record.disk import RealDisk
+from sableford.fleet.record.explore import Bounds, Wrong, explore
+from sableford.fleet.record.machine import Machine
+from sableford.fleet.record.store import Store, recover
+from sableford.fleet.record.walk import MemoryDisk, Walk
+from sableford.fleet.record.words import Appended, Entry, Kind
+
+
+class NoLook(Record):
+    """Votes for whoever asks first, however little it holds."""
+
+    def _asked(self, now, sender, word):
+        return super()._asked(now, sender, msgspec.structs.replace(word, last=10**6, last_term=10**6))
+
+
+class Hasty(Record):
+    """Says what it voted before that is on disk."""
+
+    def _keep(self, *deeds, then=None):
+        votes = [e for e in then or () if not (isinstance(e, Send) and isinstance(e.word, Appended))]
+        if votes and all(isinstance(deed, Meta) for deed in deeds):
+            rest = [effect for effect in votes if isinstance(effect, decided._Own)]
+            said = [effect for effect in votes if effect not in rest]
+            return super()._keep(*deeds, then=rest) + said
+        return super()._keep(*deeds, then=then)
+
+
+class Eager(Record):
+    """Says that it holds entries before they are on disk."""
+
+    def _keep(self, *deeds, then=None):
+        if then and any(isinstance(e, Send) and isinstance(e.word, Appended) for e in then):
+            return super()._keep(*deeds) + list(then)
+        return super()._keep(*deeds, then=then)
+
+
+class Meek(Record):
+    """Takes entries from a leader of an earlier term, over what was agreed on."""
+
+    def _appended(self, now, sender, word):
+        later = msgspec.structs.replace(word, term=max(word.term, self.term))
+        return super()._appended(now, sender, later)
+
+
+def shows_all_orders_of_one_election_and_of_a_crash_with_a_slow_disk_keep_one_order_of_entries() -> None:
+    for bounds, least in ((Bounds("a", 1), 2000), (Bounds("ac", 0, "a", "a"), 4000)):
+        states, all_of_them = explore(bounds)
+        assert all_of_them and states > least, states
+    states, _ = explore(Bounds("ac", 1, states=6000))
+    assert states == 6000
+
+
+def shows_each_planted_mistake_is_found_with_the_way_to_it() -> None:
+    for mistake, bounds in (
+        (NoLook, Bounds("acc", 0)),
+        (Hasty, Bounds("ac", 0, "b", "b")),
+        (Eager, Bounds("acc", 0, "b", "b")),
+        (Meek, Bounds("acc", 0)),
+    ):
+        try:
+            found = explore(bounds, mistake)
+        except Wrong as wrong:
+            assert str(wrong).count("\n") > 4, wrong
+        else:
+            raise AssertionError(f"{mistake.__name__} was not found in {found[0]} states")
+
+
+def shows_a_leader_counts_an_earlier_terms_entry_only_with_one_of_its_own() -> None:
+    walk = Walk(1, learners=0, loss=0.0, lies=())
+    walk.trial.run(3000.0)
+    leader = next(core for core in walk.trial.cores.values() if core.leads)
+    leader.entries.append(Entry(leader.term, Kind.NOTHING))
+    leader.term += 1  # as if elected anew, with an entry that it had not agreed on before
+    for one in leader._followers.values():
+        one.match = leader.last
+    leader.durable = leader.last
+    before = leader.commit
+    leader._agree()
+    assert leader.commit == before
+    leader.entries.append(Entry(leader.term, Kind.NOTHING))
+    leader.durable = leader.last
+    for one in leader._followers.values():
+        one.match = leader.last
+    leader._agree()
+    assert leader.commit == leader.last
+
+
+def shows_walks_with_crashes_cuts_and_full_disks_lose_nothing_and_end_in_agreement() -> None:
+    offers = reads = leaders = 0
+    for seed in range(60):
+        walk = Walk(seed, voters=3 if seed % 3 else 5, lies=())
+        walk.run(30)
+        offers, reads, leaders = offers + walk.offers, reads + walk.reads, leaders + walk.changes
+    assert offers > 4000 and reads > 1500 and leaders > 90, (offers, reads, leaders)
+
+
+def shows_walks_with_folders_torn_flipped_lost_set_back_and_emptied_lose_nothing_either() -> None:
+    told = []
+    for seed in range(100, 200):
+        walk = Walk(seed, voters=3 if seed % 3 else 5)
+        walk.run(30)
+        told += walk.story
+    said = "\n".join(told)
+    counts = [said.count(word) for word in ("'STRANGER'", "'MAIMED'", "readmitted", "fetched what it lost")]
+    assert counts[0] > 20 and counts[1] > 3 and counts[2] > 20 and counts[3] > 3, counts
+
+
+def shows_an_entry_of_an_unknown_kind_stops_its_reader_there_and_says_so() -> None:
+    machine = Machine()
+    assert machine.apply(1, Entry(1, Kind.PUT, data=put("a", b"1")))
+    assert not machine.apply(2, Entry(1, 77)) and "kind 77" in machine.stopped
+    assert not machine.apply(3, Entry(1, Kind.PUT, data=put("a", b"2"))) and machine.last == 1
+
+
+def folder() -> tuple[MemoryDisk, bytes]:
+    """Ten entries, each flushed for itself."""
+    disk = MemoryDisk()
+    store = Store(disk, "a")
+    store.open()
+    store.keep([Meta(3, "b")])
+    for index in range(1, 11):
+        store.keep([Add(index, Entry(3, Kind.PUT, "x#1", index, put("k", b"%d" % index)))])
+    return disk, disk.files["log-1"]
+
+
+def shows_a_torn_last_record_is_cut_off_and_a_changed_byte_anywhere_is_damage_never_another_entry() -> None:
+    disk, log = folder()
+    whole = recover("a", disk.files, "new").held
+    assert len(whole.entries) == 10 and whole.lost is None and whole.vote == "b"
+    # Written in part and never flushed: nobody was told of it.
+    torn = recover("a", disk.files | {"log-1": log + log[-40:-9]}, "new").held
+    assert torn.entries == whole.entries and torn.lost is None
+    for size in range(len(log)):
+        held = recover("a", disk.files | {"log-1": log[:size]}, "new").held
+        short = held.entries != whole.entries or held.vote != "b"
+        assert held.entries == whole.entries[: len(held.entries)]
+        assert not short or held.id == "new" or held.lost == (3, 10), (size, held)
+    for at in range(len(log)):
+        spoilt = log[:at] + bytes([log[at] ^ 8]) + log[at + 1 :]
+        held = recover("a", disk.files | {"log-1": spoilt}, "new").held
+        assert held.entries == whole.entries[: len(held.entries)] and len(held.entries) < 10
+        assert held.id == "new" or held.lost == (3, 10), (at, held)
+
+
+def shows_damage_is_remembered_over_a_restart_and_anothers_folder_is_set_aside() -> None:
+    disk, log = folder()
+    disk.files["log-1"] = disk.kept["log-1"] = log[:200] + b"?" + log[201:]
+    assert Store(disk, "a").open().held.lost == (3, 10)
+    again = Store(disk, "a").open()
+    assert again.held.lost == (3, 10) and again.held.id != "new"
+    other = Store(disk, "c").open()
+    assert other.held.entries == () and "the folder is a's" in other.said
+    assert [name for name in disk.files if name.startswith("aside-log")], disk.files.keys()
+
+
+def shows_a_snapshot_carries_ten_thousand_entries_over_a_restart_and_a_bad_one_is_fetched() -> None:
+    disk = MemoryDisk()
+    store = Store(disk, "a")
+    held = store.open().held
+    core = Record("a", 1, ["a"], held, 0.0, 1)
+    entries = [Entry(1, Kind.PUT, "x#1", at, put(f"k{at % 50}", b"%d" % at)) for at in range(1, 10_501)]
+    core.term = 1
+    core.entries.extend(entries)
+    effects = core._settle(10_500)
+    stores = [effect for effect in effects if isinstance(effect, decided.Store)]
+    for effect in stores:
+        store.keep(effect.deeds)
+    found = Store(disk, "a").open()
+    back = Record("a", 2, ["a"], found.held, 0.0, 1)
+    assert back.machine.last == 10_500 and back.machine.values == core.machine.values and not found.said
+    log = next(text for name, text in disk.files.items() if name.startswith("log-"))
+    assert back.first == 9501 and len(log) < 120_000
+    disk.files["image-10500"] = disk.files["image-10500"][:-1]
+    bad = Store(disk, "a").open()
+    assert bad.held.image is None and bad.held.lost == (1, 10_500), bad.said
+
+
+def shows_a_real_folder_is_one_processes_own_and_keeps_what_was_flushed() -> None:
+    with tempfile.TemporaryDirectory() as place:
+        disk = RealDisk(Path(place, "fleet"))
+        store = Store(disk, "a")
+        found = store.open()
+        store.keep([Meta(1, "a"), Add(1, Entry(1, Kind.NOTHING))])
+        try:
+            RealDisk(Path(place, "fleet"))
+        except BlockingIOError:
+            pass
+        else:
+            raise AssertionError("two hold one folder")
+        disk.release()
+        again = Store(RealDisk(Path(place, "fleet")), "a").open()
+        assert (again.held.id, again.held.vote, len(again.held.entries)) == (found.held.id, "a", 1)
+        whole = Whole("x", Meta(2, ""), None, 1, 0, ())
+        store._broken = True
+        try:
+            store.keep([Meta(2, "")])
+        except OSError as problem:
+            assert "earlier" in str(problem)
+        else:
+            raise AssertionError("a disk that failed is trusted")
+        store.keep([whole])  # everything anew is what makes it good again
+        assert not store._broken
