--- a/sableford/fleet/record/core.py
+++ b/sableford/fleet/record/core.py
@@ -221,6 +221,7 @@
         self._next_offer = 0
         self._taken: dict[tuple[str, int], int] = {}  # of a leader: offers under way, their index
         self._pull_at = now
+        self._source, self._served = "", False  # whom it asked last, and whether that one answered
         self._snap: tuple[int, int, bytearray] | None = None  # under way: last, size, bytes
         self._blob: tuple[int, bytes] | None = None
         self._due_at = self._election(now)
@@ -532,7 +533,8 @@
 
     def _word(self, prev: int, entries: tuple[Entry, ...]) -> Append:
         prev = max(prev, self.first - 1)
-        return Append(self.id, self.term, prev, self.term_at(prev), self.commit, self._round, entries)
+        before = prev, self.term_at(prev)
+        return Append(self.id, self.term, *before, self.commit, self._round, self.durable, entries)
 
     def _feed(self, name: str, one: _Follower, most: int = AHEAD) -> list[Effect]:
         """Entries it does not have, a few words ahead of its answers."""
@@ -621,6 +623,7 @@
             return []  # it fetches; a leader counts nobody who is not a voter
         out = self._follow(now, word.term, sender) if (word.term, sender) != (self.term, self.leader) else []
         self._due_at, self._led_at = self._election(now), now
+        self._note(sender, word.id, word.term, word.kept)
         if self.standing not in ACKS:
             return out  # what it held and no disk will keep would pass for kept once the disk is back
         if word.prev > self.last or (word.prev >= self.first and self.term_at(word.prev) != word.prev_term):
@@ -764,7 +767,11 @@
         names = [name for name in self._names if name != self.name]
         if not source and not names:
             return []
-        to = source or (self.leader if self.leader in names else self._draw.choice(names))
+        # By chance, so that the leader too hears of it; a snapshot under way is one process's.
+        if self._snap is None or not self._served or self._source not in names:
+            self._source = self._draw.choice([name for name in names if name != self._source] or names)
+        self._served = False
+        to = source or self._source
         last, at = (self._snap[0], len(self._snap[2])) if self._snap else (0, 0)
         return [Send(to, Fetch(self.id, self.commit, last, at))]
 
@@ -808,7 +815,7 @@
             return []
         out: list[Effect] = []
         deeds: list = []
-        self.leader = word.leader
+        self.leader, self._served = word.leader, True
         if self.last > self.commit:
             del self.entries[self.commit + 1 - self.first :]
             deeds.append(Cut(self.commit))
@@ -829,6 +836,7 @@
         return self._stands(Standing.SOUND, "readmitted under its new id")
 
     def _piece(self, now: float, sender: str, word: Snap) -> list[Effect]:
+        self._served = True
         if word.last <= self.commit or not 0 <= word.at < word.of:
             return []
         if self._snap is None or self._snap[0] != word.last:
--- a/sableford/fleet/record/machine.py
+++ b/sableford/fleet/record/machine.py
@@ -60,8 +60,9 @@
         if entry.author:
             taken = self.taken.pop(entry.author, {})
             taken[entry.number] = index, held
-            for number in [number for number in taken if number <= max(taken) - WINDOW]:
-                del taken[number]
+            if len(taken) > WINDOW:
+                least = max(taken) - WINDOW
+                taken = {number: what for number, what in taken.items() if number > least}
             self.taken[entry.author] = taken
             if len(self.taken) > AUTHORS:
                 del self.taken[next(iter(self.taken))]
--- a/sableford/fleet/record/words.py
+++ b/sableford/fleet/record/words.py
@@ -50,6 +50,7 @@
     prev_term: int
     commit: int
     round: int  # counts the leader's rounds, so that a read knows an answer is from after it was asked
+    kept: int  # how far the leader's own disk is: it may not come back with less
     entries: tuple[Entry, ...] = ()
 
 
--- a/sableford/rig/world.py
+++ b/sableford/rig/world.py
@@ -87,6 +87,7 @@
         # Hosts of this run alone, so that several runs at once never meet.
         self._net = f"127.{64 + os.getpid() // 200 % 190}.{1 + os.getpid() % 200}"
         self.hosts = {name: f"{self._net}.{at + 1}" for at, name in enumerate(planned.schedulers(plan))}
+        self.doors = {name: (host, DOOR) for name, host in self.hosts.items()}
         self.workers = {
             name: Worker(name, plan, self.ways, self.ledger, self.hours) for name in planned.workers(plan)
         }
@@ -112,7 +113,6 @@
             self._servers.append(
                 await loop.create_server(lambda s=scheduler: AgentLine(self.agent, s), host, LIST)
             )
-        self.doors = {name: (host, DOOR) for name, host in self.hosts.items()}
         told = await self._between(PEERS) if self.plan.talk and not self.plan.fleet else {}
         fleet = await self._between(FLEET) if self.plan.fleet else {}
         for at, name in enumerate(names):
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -11,7 +11,20 @@
 
 import sableford
 import tests
-from tests import actors, adapter, command, crowd, fleet, handover, legacy, members, record, rig, upgrade
+from tests import (
+    actors,
+    adapter,
+    command,
+    crowd,
+    fleet,
+    handover,
+    joined,
+    legacy,
+    members,
+    record,
+    rig,
+    upgrade,
+)
 from tests.helper import play, play_sockets, scenarios
 
 HUNG = 180.0  # s for one test, three times what a scene of several processes has
@@ -33,7 +46,20 @@
                 module = importlib.import_module(found.name)
                 if ">>>" in Path(module.__file__).read_text():
                     yield f"examples of {found.name}", lambda module=module: doctested(module)
-    for module in (actors, adapter, command, crowd, fleet, handover, legacy, members, record, rig, upgrade):
+    for module in (
+        actors,
+        adapter,
+        command,
+        crowd,
+        fleet,
+        handover,
+        joined,
+        legacy,
+        members,
+        record,
+        rig,
+        upgrade,
+    ):
         for name, check in list(vars(module).items()):
             if name.startswith("shows_"):
                 yield f"{module.__name__}: {name[6:].replace('_', ' ')}", check
