Say once that the record's disk refuses, with its own words

Ruled out: the core (NO_DISK is said once) and the store. Change: the actor says the first problem and the end of it.

--- a/sableford/fleet/actor.py
+++ b/sableford/fleet/actor.py
@@ -256,7 +256,7 @@
             return
         for said in found.said:
             self._log.say("record_folder", folder=self._seat.folder, problem=said)
-        self._disk = found.failed
+        self._disk = ""
         self._record = Record(self._seat.name, self._birth, self._seat.voters, found.held, now, self._seed)
         record = self._record
         self._log.say("record_opened", last=record.last, term=record.term, standing=record.standing.name)
@@ -294,9 +294,9 @@
         """Said once as it begins and once as it ends."""
         if not self._disk or self._rewrite_at is None:
             self._rewrite_at = now + REWRITE
-        if self._disk != problem:
+        if not self._disk:  # what follows from the first failure has words of its own
             self._log.say("record_disk", problem=problem)
-        self._disk = problem
+            self._disk = problem
         self._due.clear()
         self._do(self._record.failed(now, problem))
 
