--- /dev/null
+++ b/sableford/altavia/links.py
@@ -0,0 +1,215 @@
+"""Held connections between the system's own processes.
+
+`Link` is one connection, whoever dialled it; `Ways` keeps one to each process that is to be reached. A process
+knows by its steady clock how long each has been silent. A refused dial proves that the process which had that
+port is over, since each holds its port as long as it lives; silence proves nothing.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+from sableford.altavia.frames import Frames, Garbled, frame
+
+BEAT_MS = 150.0  # between two looks at the links: a ping where nothing was heard for so long
+SILENT_MS = 450.0  # without a word: a link counts as quiet, and other ways are taken first
+DEAD_MS = 1600.0  # without a word, or for a dial to succeed: given up and dialled anew
+REDIAL_MS = 60.0  # between two dials, doubling up to ten times as much
+BACKLOG = 8_388_608  # bytes waiting to leave: the other side does not read
+
+
+class Broken(Exception):
+    """The link ended before the answer came: the other side may have done what it was asked, or not."""
+
+
+class Link(asyncio.Protocol):
+    """One connection. `heard(link, head, raw)` gets what is no answer."""
+
+    def __init__(self, heard: Callable, lost: Callable | None = None) -> None:
+        self._heard, self._lost = heard, lost
+        self._frames, self._loop = Frames(), asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self._asked: dict[int, asyncio.Future] = {}
+        self._next = 0
+        self.peer = ""  # its name, once it has said it
+        self.birth = ""
+        self.heard_at = self._loop.time()
+        self.closed = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            with suppress(OSError):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(DEAD_MS))
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = self._loop.time()
+        try:
+            found = self._frames.feed(data)
+        except Garbled:
+            self.drop()
+            return
+        for head, raw in found:
+            number = head.get("a")
+            if number is not None:
+                future = self._asked.pop(number, None)
+                if future is not None and not future.done():
+                    future.set_result((head, raw))
+            elif head.get("op") == "ping":
+                self.send({"op": "pong"})
+            elif head.get("op") != "pong":
+                self._heard(self, head, raw)
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        for future in self._asked.values():
+            if not future.done():
+                future.set_exception(Broken(self.peer))
+        self._asked.clear()
+        if self._lost is not None:
+            self._lost(self)
+
+    def send(self, head: dict, raw: bytes = b"") -> bool:
+        """Whether it was handed on; it may still be lost."""
+        if self.closed or self.transport is None or self.transport.is_closing():
+            return False
+        if self.transport.get_write_buffer_size() > BACKLOG:
+            self.drop()
+            return False
+        self.transport.write(frame(head, raw))
+        return True
+
+    def ask(self, head: dict, raw: bytes = b"") -> asyncio.Future:
+        """A future of (head, raw), or Broken."""
+        self._next += 1
+        future = self._loop.create_future()
+        if self.send(head | {"q": self._next}, raw):
+            self._asked[self._next] = future
+        else:
+            future.set_exception(Broken(self.peer))
+            future.exception()
+        return future
+
+    def answer(self, asked: dict, head: dict, raw: bytes = b"") -> None:
+        if "q" in asked:
+            self.send(head | {"a": asked["q"]}, raw)
+
+    def silence(self) -> float:
+        """ms since anything was heard."""
+        return (self._loop.time() - self.heard_at) * 1000.0
+
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+        self.connection_lost(None)
+
+
+class _Way:
+    __slots__ = ("address", "link", "next_at", "pause", "task")
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.link: Link | None = None
+        self.task: asyncio.Task | None = None
+        self.next_at, self.pause = 0.0, REDIAL_MS
+
+
+class Ways:
+    """A held link to each process that is wanted, dialled again for as long as it is.
+
+    `hello` is what this process says of itself. `up(name, link)`, `down(name)` and `refused(name)` tell of
+    changes; names are inner addresses' hosts."""
+
+    def __init__(self, hello: dict, port: int, heard: Callable) -> None:
+        self.hello, self.port, self._heard = hello, port, heard
+        self._ways: dict[str, _Way] = {}
+        self.up: list[Callable] = []
+        self.down: list[Callable] = []
+        self.refused: list[Callable] = []
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(0.0, self._look)
+
+    def want(self, names: set[str]) -> None:
+        """Just these from now on."""
+        for name in names - self._ways.keys():
+            self._ways[name] = _Way((name, self.port))
+        for name in self._ways.keys() - names:
+            way = self._ways.pop(name)
+            if way.task is not None:
+                way.task.cancel()
+            if way.link is not None:
+                way.link.drop()
+        self._dial_due()
+
+    def names(self) -> list[str]:
+        return list(self._ways)
+
+    def link(self, name: str) -> Link | None:
+        """The link to it, if one is up."""
+        way = self._ways.get(name)
+        if way is None or way.link is None or way.link.closed or not way.link.birth:
+            return None
+        return way.link
+
+    def near(self, name: str) -> Link | None:
+        """The link to it, if it has spoken lately."""
+        link = self.link(name)
+        return link if link is not None and link.silence() < SILENT_MS else None
+
+    def _look(self) -> None:
+        self._timer = self._loop.call_later(BEAT_MS / 1000.0, self._look)
+        for way in list(self._ways.values()):
+            if way.link is None:
+                continue
+            silence = way.link.silence()
+            if silence >= DEAD_MS:
+                way.link.drop()
+            elif silence >= BEAT_MS * 0.9:
+                way.link.send({"op": "ping"})
+        self._dial_due()
+
+    def _dial_due(self) -> None:
+        now = self._loop.time() * 1000.0
+        for name, way in self._ways.items():
+            if way.link is None and way.task is None and now >= way.next_at:
+                way.task = self._loop.create_task(self._dial(name, way))
+
+    async def _dial(self, name: str, way: _Way) -> None:
+        now = self._loop.time() * 1000.0
+        way.next_at, way.pause = now + way.pause, min(way.pause * 2.0, REDIAL_MS * 10.0)
+        link: Link | None = None
+        try:
+            async with asyncio.timeout(DEAD_MS / 1000.0):
+                _, link = await self._loop.create_connection(lambda: Link(self._heard, self._ended), *way.address)
+                head, _ = await link.ask(self.hello)
+                link.peer, link.birth = name, head["birth"]
+                way.link, way.pause = link, REDIAL_MS
+        except ConnectionRefusedError:
+            for tell in self.refused:
+                tell(name)
+        except (OSError, TimeoutError, Broken, KeyError):
+            pass
+        finally:
+            way.task = None
+            if link is not None and way.link is not link:
+                link.drop()
+        if way.link is link and link is not None:
+            if link.closed:
+                way.link = None
+            else:
+                for tell in self.up:
+                    tell(name, link)
+
+    def _ended(self, link: Link) -> None:
+        way = self._ways.get(link.peer)
+        if way is None or way.link is not link:
+            return
+        way.link, way.next_at = None, 0.0
+        for tell in self.down:
+            tell(link.peer)
+        self._loop.call_soon(self._dial_due)
--- /dev/null
+++ b/sableford/altavia/routes.py
@@ -0,0 +1,75 @@
+"""Which route a request is for: by host and longest prefix, under one version of the configuration."""
+
+from typing import Any, NamedTuple
+
+
+class Route(NamedTuple):
+    name: str
+    backend: str
+    deadline_ms: float
+    target_ms: float
+    start_ms: float
+    rank: int
+    tries: int
+    fifo: bool
+    retention_s: float
+    variant: str
+
+
+class Backend(NamedTuple):
+    name: str
+    idempotent: bool
+    conns: int
+    health: str
+    endpoint: str | None
+    rate: float
+
+
+class Table:
+    """Routes and services of one version; `revision` 0 is none."""
+
+    def __init__(self, revision: int = 0, doc: dict[str, Any] | None = None) -> None:
+        self.revision, self.doc = revision, doc or {}
+        self.limits: dict[str, Any] = self.doc.get("limits") or {}
+        self._hosts: dict[str, list[tuple[str, Route]]] = {}
+        for given in self.doc.get("routes", []):
+            route = Route(
+                given["name"],
+                given["backend"],
+                float(given["deadlineMs"]),
+                float(given.get("targetMs") or 0),
+                float(given.get("startTargetMs") or 0),
+                int(given.get("rank", 0)),
+                int(given.get("maxTries", 1)),
+                bool(given.get("fifo")),
+                float(given.get("retentionS") or 0),
+                given.get("variant", "deferred"),
+            )
+            self._hosts.setdefault(given["hostname"].lower(), []).append((given["pathPrefix"], route))
+        for routes in self._hosts.values():
+            routes.sort(key=lambda pair: -len(pair[0]))
+        self.backends = {
+            given["name"]: Backend(
+                given["name"],
+                bool(given.get("idempotent")),
+                int(given.get("maxConns") or 1),
+                given.get("healthPath") or "/",
+                given.get("endpoint"),
+                float(given.get("ratePerS") or 0),
+            )
+            for given in self.doc.get("backends", [])
+        }
+
+    def find(self, host: str, path: str) -> Route | None:
+        """
+        >>> table = Table(1, {"routes": [{"name": n, "hostname": "H", "pathPrefix": p, "backend": "b", "deadlineMs": 1}
+        ...     for n, p in (("a", "/"), ("b", "/x/"))]})
+        >>> table.find("h:80", "/x/1").name, table.find("h", "/x").name, table.find("i", "/x")
+        ('b', 'a', None)
+        """
+        name = host.lower()
+        routes = self._hosts.get(name) or self._hosts.get(name.rpartition(":")[0] or name, ())
+        for prefix, route in routes:
+            if path.startswith(prefix):
+                return route
+        return None
--- a/sableford/fleet/record/core.py
+++ b/sableford/fleet/record/core.py
@@ -178,11 +178,18 @@
     """One process's side. `tick` at `due`, `heard` for each word, `stored` and `failed` from the disk."""
 
     def __init__(
-        self, name: str, birth: int, voters: Iterable[str], held: Held, now: float, seed: int
+        self,
+        name: str,
+        birth: int,
+        voters: Iterable[str],
+        held: Held,
+        now: float,
+        seed: int,
+        most: int = MOST_VALUE,
     ) -> None:
         """`voters`: the names that the file gives; their ids are agreed on when all meet for the first
-        time."""
-        self.name, self.birth, self.id = name, birth, held.id
+        time. `most` bytes of one value: what the way between the processes carries."""
+        self.name, self.birth, self.id, self._most = name, birth, held.id, most
         self._draw = Random(f"record {name} {birth} {seed}")
         self._names = tuple(voters)
         self.machine = Machine()
@@ -289,6 +296,13 @@
         self.due = min(now + BEAT, max(now + 1.0, self._due_at)) if waits else now + BEAT
         return out
 
+    def over(self, now: float, name: str) -> None:
+        """Proof that the process of that name has ended: nothing is gained by waiting for it as a leader."""
+        if name == self.leader and not self.leads:
+            self.leader, self._led_at = "", -1e12
+            self._due_at = min(self._due_at, now + BEAT * self._draw.random())
+            self.due = min(self.due, self._due_at)
+
     def _hail(self, now: float) -> list[Effect]:
         self._hail_at = now + HAIL
         out: list[Effect] = []
@@ -866,7 +880,7 @@
         `drop`ped. The number is the answer's."""
         self._next_offer += 1
         number = self._next_offer
-        if data is not None and len(data) > MOST_VALUE + 512:
+        if data is not None and len(data) > self._most + 512:
             return number, [Answer(number, False, 0, f"{len(data)} bytes are too many")]
         if len(self._offers) >= MOST_OFFERS:
             return number, [Answer(number, False, 0, "too many offers under way")]
--- a/sableford/fleet/record/machine.py
+++ b/sableford/fleet/record/machine.py
@@ -12,7 +12,7 @@
 
 AUTHORS = 4096  # whose last offers are remembered, the oldest going first: far more than schedulers
 WINDOW = 512  # numbers of one author remembered: twice what it may have under way at once
-MOST_VALUE = 32_768  # bytes of one value: one settings file; half of what one word holds
+MOST_VALUE = 32_768  # bytes of one value: one settings file; half of what one datagram's word holds
 
 
 class Value(NamedTuple):
--- /dev/null
+++ b/sableford/leconte/council.py
@@ -0,0 +1,414 @@
+"""The leader's soft state: members under leases, whose each shard is, and the workers. No I/O.
+
+Nothing of it is logged: who takes the lead gathers it anew from those who join, and moves nothing before each store
+has joined, is proven to be over, or could hold a lease of an earlier leader no longer.
+
+    input                       next state                                   effects
+    joined, renewed             the member's lease runs from now             snapshot; Register a new store
+    expired, over (proof)       no member; its shards are nobody's           news of a view
+    acked                       what it has applied                          Done for who waited; the next view
+    beat, left, silent          the worker's line                            news; Done once all stores have it
+    configured                  the operator's word in force                 news; Done once all members have it
+"""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import msgspec
+
+from sableford.leconte.view import SHARDS, Hut, View, shares
+
+LEASE = 1500.0  # ms: longer than an election takes, so that a new leader finds leases running
+RENEW = 250.0  # ms between renewals: five in a lease may be lost
+STRAY = 1000.0  # ms that a leader cut off may go on granting leases (the record's)
+APPLIED = 600.0  # ms that an acknowledgement to the outside waits for members to apply what it is about
+MISSED = 3.2  # beats missed: then a worker is gone
+TOMB = 60_000.0  # ms that the id of a worker that left is remembered, so that a late beat does not revive it
+
+
+class Member(msgspec.Struct):
+    birth: str
+    role: str
+    zone: str
+    node: str
+    control: str
+    until: float
+    sent: int = 0  # the last news put on its line
+    acked: int = 0
+    leaving: bool = False
+    whole: bool = True
+    registered: bool = False
+    audits: dict[str, str] = {}  # stores whose folder it has compared, by the birth it was of
+
+
+class Worker(msgspec.Struct):
+    """A line of the list, as stores get it. Times are the leader's own."""
+
+    id: str
+    backend: str
+    address: str
+    zone: str
+    capacity: int
+    phase: str
+    cold_ms: float
+    revision: str = ""
+
+
+# Effects
+
+
+class News(NamedTuple):
+    """To one member, down its line: what changed, or a snapshot of all."""
+
+    to: str
+    word: dict
+
+
+class Register(NamedTuple):
+    """The store is to stand in the record before it holds anything."""
+
+    name: str
+
+
+class Done(NamedTuple):
+    """What `token` waited for has been applied by all who must, or can be waited for no longer."""
+
+    token: int
+    all: bool
+
+
+class Said(NamedTuple):
+    event: str
+    facts: dict
+
+
+Effect = News | Register | Done | Said
+
+
+class _Wait(NamedTuple):
+    token: int
+    number: int
+    names: set[str]
+    until: float
+
+
+class Council:
+    """Decides only while it `leads`. Names are inner hosts."""
+
+    def __init__(self, heartbeat_ms: float) -> None:
+        self.beat_ms = heartbeat_ms
+        self.leads = False
+        self.term = 0
+        self.members: dict[str, Member] = {}
+        self.roster: list[str] = []
+        self.view = View()
+        self.workers: dict[str, Worker] = {}
+        self._until: dict[str, float] = {}
+        self._counts: dict[str, int] = {}
+        self._tombs: dict[str, float] = {}
+        self.config: dict | None = None
+        self.number = 0  # of the last news
+        self._view_news = 0  # the news that told the current view
+        self._holders: dict[int, tuple[str, int]] = {}  # shard: who must acknowledge which news before it is given
+        self._warm = False
+        self._since = 0.0
+        self._over: set[str] = set()  # stores proven to be over since this lead began
+        self._waits: list[_Wait] = []
+        self._best: View | None = None
+        self._token = 0
+        self._proposed: set[str] = set()
+
+    # Who leads
+
+    def lead(self, now: float, term: int) -> list[Effect]:
+        self.leads, self.term, self._since, self._warm = True, term, now, False
+        self.members, self._over, self._waits, self._best = {}, set(), [], None
+        self.number, self._holders, self._proposed = 0, {}, set()
+        for id in self.workers:
+            self._until[id] = now + self._silence()
+        return [Said("core_leads", {"term": term})]
+
+    def step_down(self) -> list[Effect]:
+        if not self.leads:
+            return []
+        self.leads = False
+        out: list[Effect] = [Done(wait.token, False) for wait in self._waits]
+        self._waits, self.members = [], {}
+        return [*out, Said("core_leads_no_more", {"term": self.term})]
+
+    def mirror(self, view: View, workers: Iterable[Worker], now: float) -> None:
+        """What another leader told this process, in case it leads next."""
+        if not self.leads:
+            self.view = view
+            self.workers = {worker.id: worker for worker in workers}
+            self._until = {id: now + self._silence() for id in self.workers}
+
+    def enrol(self, now: float, roster: list[str]) -> list[Effect]:
+        """The stores that stand in the record."""
+        self.roster = roster
+        if not self.leads:
+            return []
+        for name, member in self.members.items():
+            member.registered = name in roster
+        return self._steer(now)
+
+    # Members
+
+    def joined(self, now: float, name: str, said: dict) -> list[Effect]:
+        """A process takes its place: `said` has birth, role, zone, node, control, whole, leaving and view."""
+        old = self.members.get(name)
+        out: list[Effect] = []
+        if old is not None and old.birth != said["birth"]:
+            out += self._gone(now, name, "another life of it has come")
+        member = Member(
+            said["birth"],
+            said["role"],
+            said["zone"],
+            said["node"],
+            said.get("control") or "",
+            now + LEASE,
+            leaving=bool(said.get("leaving")),
+            whole=bool(said.get("whole", True)),
+            registered=name in self.roster,
+            audits=old.audits if old is not None and old.birth == said["birth"] else {},
+        )
+        self.members[name] = member
+        self._over.discard(name)
+        if (held := said.get("view")) is not None:
+            seen = msgspec.convert(held, View)
+            if self._best is None or seen.number > self._best.number:
+                self._best = seen
+        if member.role == "store" and not member.registered and name not in self._proposed:
+            self._proposed.add(name)
+            out.append(Register(name))
+        member.sent = self.number
+        out.append(News(name, self._snapshot(member)))
+        out.append(Said("member_joined", {"member": member.node, "birth": member.birth, "role": member.role}))
+        return out + self._steer(now)
+
+    def _snapshot(self, member: Member) -> dict:
+        word: dict[str, Any] = {"op": "news", "term": self.term, "n": self.number, "whole": True}
+        if self.config is not None:
+            word["config"] = self.config
+        if self._warm:
+            word["view"] = msgspec.to_builtins(self.view)
+        if member.role == "store":
+            word["workers"] = [msgspec.to_builtins(worker) for worker in self.workers.values()]
+        return word
+
+    def renewed(self, now: float, name: str, said: dict) -> bool:
+        """Whether it is a member still; else it must join again. True prolongs its lease from now on."""
+        member = self.members.get(name)
+        if member is None or member.birth != said["birth"] or now > member.until:
+            return False
+        member.until = now + LEASE
+        member.audits = said.get("audits") or {}
+        if said.get("leaving"):
+            member.leaving = True
+        return True
+
+    def over(self, now: float, name: str) -> list[Effect]:
+        """Proof that the process of that name has ended: its port refuses."""
+        if not self.leads:
+            return []
+        self._over.add(name)
+        out = self._gone(now, name, "its port refuses") if name in self.members else []
+        return out + self._steer(now)
+
+    def _gone(self, now: float, name: str, why: str) -> list[Effect]:
+        member = self.members.pop(name)
+        return [Said("member_gone", {"member": member.node, "birth": member.birth, "why": why})]
+
+    def acked(self, now: float, name: str, birth: str, number: int) -> list[Effect]:
+        member = self.members.get(name)
+        if member is None or member.birth != birth or number <= member.acked:
+            return []
+        member.acked = number
+        return self._steer(now) + self._served(now)
+
+    def tick(self, now: float) -> list[Effect]:
+        if not self.leads:
+            return []
+        out: list[Effect] = []
+        for name in [name for name, member in self.members.items() if now > member.until]:
+            out += self._gone(now, name, "its lease ran out")
+        for id in [id for id, until in self._until.items() if now > until and id in self.workers]:
+            out += self._drop(now, id, "silent")
+        self._tombs = {id: until for id, until in self._tombs.items() if until > now}
+        return out + self._steer(now) + self._served(now)
+
+    # Waiting for what members have applied
+
+    def wait(self, now: float, number: int, roles: tuple[str, ...]) -> tuple[int, list[Effect]]:
+        """A token, Done once all present members of those roles have applied news `number`."""
+        self._token += 1
+        names = {name for name, member in self.members.items() if member.role in roles}
+        self._waits.append(_Wait(self._token, number, names, now + APPLIED))
+        return self._token, self._served(now)
+
+    def _served(self, now: float) -> list[Effect]:
+        out: list[Effect] = []
+        left = []
+        for wait in self._waits:
+            behind = [
+                name
+                for name in wait.names
+                if (member := self.members.get(name)) is not None and member.acked < wait.number
+            ]
+            if not behind or now >= wait.until:
+                out.append(Done(wait.token, not behind))
+            else:
+                left.append(wait)
+        self._waits = left
+        return out
+
+    # News
+
+    def _tell(self, word: dict, roles: tuple[str, ...] = ("edge", "store")) -> list[Effect]:
+        self.number += 1
+        out: list[Effect] = []
+        for name, member in self.members.items():
+            if member.role in roles:
+                out.append(
+                    News(name, word | {"op": "news", "term": self.term, "n": self.number, "prev": member.sent})
+                )
+                member.sent = self.number
+        return out
+
+    def configured(self, now: float, config: dict) -> list[Effect]:
+        """The operator's word as it stands now: `revision` and `doc`."""
+        if self.config is not None and self.config["revision"] == config["revision"]:
+            return []
+        self.config = config
+        if not self.leads:
+            return []
+        return [*self._tell({"config": config}), Said("config_told", {"revision": config["revision"], "n": self.number})]
+
+    # Whose each shard is
+
+    def _steer(self, now: float) -> list[Effect]:
+        """The next view, where something is to change and may."""
+        if not self._warm:
+            known = set(self.roster) | ({*self._best.roster} if self._best else set())
+            pending = [name for name in known if name not in self.members and name not in self._over]
+            if not known or (pending and now < self._since + STRAY + LEASE):
+                return []
+            self._warm = True
+            self._adopt()
+        stores = {name: one for name, one in self.members.items() if one.role == "store" and one.registered}
+        view = self.view
+        owners, births, epochs = list(view.owners), list(view.births), list(view.epochs)
+        able = sorted(name for name, one in stores.items() if not one.leaving and self._is_whole(name))
+        target = shares(owners, able)
+        number = (self.term, view.number[1] + 1 if view.number[0] == self.term else 1)
+        changed = view.number[0] != self.term
+        for at in range(SHARDS):
+            owner, want = owners[at], target[at]
+            if owner:
+                live = owner in stores and stores[owner].birth == births[at]
+                if live and owner == want:
+                    continue
+                owners[at] = births[at] = ""
+                changed = True
+                if live:
+                    self._holders[at] = owner, self.number + 1
+                    continue
+            if self._held(at, stores) or not want:
+                continue
+            self._holders.pop(at, None)
+            owners[at], births[at], epochs[at] = want, stores[want].birth, number
+            changed = True
+        huts = {
+            name: Hut(one.birth, one.zone, one.node, one.control, one.leaving, self._is_whole(name))
+            for name, one in sorted(stores.items())
+        }
+        if not changed and huts == view.huts and self.roster == view.roster:
+            return []
+        self.view = View(number, owners, births, epochs, huts, list(self.roster))
+        out = self._tell({"view": msgspec.to_builtins(self.view)})
+        free = sum(not owner for owner in owners)
+        counts = {one.node: owners.count(name) for name, one in stores.items()}
+        return [*out, Said("view", {"number": number, "n": self.number, "shards": counts, "free": free})]
+
+    def _adopt(self) -> None:
+        """The newest view that anyone has applied is what this lead begins with."""
+        best = self._best if self._best is not None and self._best.number > self.view.number else self.view
+        # Of a shard that was being moved the old owner may not have heard yet: all must have heard first.
+        self._holders = {at: ("", self.number + 1) for at, owner in enumerate(best.owners) if not owner}
+        self.view = best
+
+    def _held(self, at: int, stores: dict[str, Member]) -> bool:
+        """Whether someone may still act on a shard that is nobody's by the last view."""
+        if at not in self._holders:
+            return False
+        name, number = self._holders[at]
+        if name:
+            return name in stores and stores[name].acked < number
+        return any(one.acked < number for one in stores.values())
+
+    def _is_whole(self, name: str) -> bool:
+        """A store whose folder was lost counts once every owner has compared it and has its own messages safe."""
+        member = self.members[name]
+        if member.whole:
+            return True
+        owners = {owner for owner in self.view.owners if owner}
+        if "" in self.view.owners or not owners:
+            # Nobody owns anything yet: on the very first start none has a past.
+            return False
+        if all(
+            owner == name or (owner in self.members and self.members[owner].audits.get(name) == member.birth)
+            for owner in owners
+        ):
+            member.whole = True
+        return member.whole
+
+    # Workers
+
+    def _silence(self) -> float:
+        return self.beat_ms * MISSED
+
+    def beat(self, now: float, said: dict) -> tuple[int, list[Effect]]:
+        """A worker's call. The news that tells of it, 0 where nothing changed."""
+        id, count = said["id"], said["count"]
+        if self._tombs.get(id, 0.0) > now or count < self._counts.get(id, -1):
+            return 0, []
+        self._counts[id] = count
+        self._until[id] = now + self._silence()
+        worker = Worker(
+            id,
+            said["backend"],
+            said["address"],
+            said["zone"],
+            said["capacity"],
+            said["phase"],
+            said["cold_ms"],
+            said["revision"],
+        )
+        out: list[Effect] = []
+        known = self.workers.get(id)
+        if known is None:
+            # An address has one process: whoever had it is over.
+            for other in [one.id for one in self.workers.values() if one.address == worker.address]:
+                out += self._drop(now, other, "its address has another life")
+        self.workers[id] = worker
+        if known is not None and msgspec.structs.replace(known, cold_ms=worker.cold_ms) == worker:
+            return 0, out
+        out += self._tell({"worker": msgspec.to_builtins(worker)}, ("store",))
+        out.append(Said("worker", {"worker": id, "phase": worker.phase, "backend": worker.backend, "n": self.number}))
+        return self.number, out
+
+    def left(self, now: float, id: str) -> tuple[int, list[Effect]]:
+        self._tombs[id] = now + TOMB
+        if id not in self.workers:
+            return 0, []
+        out = self._drop(now, id, "left")
+        return self.number, out
+
+    def _drop(self, now: float, id: str, why: str) -> list[Effect]:
+        del self.workers[id]
+        self._until.pop(id, None)
+        self._counts.pop(id, None)
+        out = self._tell({"gone": id}, ("store",))
+        return [*out, Said("worker_gone", {"worker": id, "why": why, "n": self.number})]
+
+
--- /dev/null
+++ b/sableford/leconte/member.py
@@ -0,0 +1,153 @@
+"""A member's side: it finds the leader, holds a lease there by renewing it, and applies the news pushed down its line.
+
+Who is behind gets a snapshot, then changes; a gap between two pieces of news means joining anew. Within one life
+neither a view nor a configuration goes back.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from sableford.altavia.links import Broken, Link, Ways
+from sableford.leconte.council import LEASE, RENEW, Worker
+from sableford.leconte.view import View
+
+LOOK = 40.0  # ms between two tries to find the leader
+ANSWER = 400.0  # ms for its answer to a renewal; then it is looked for anew
+
+
+class Member:
+    """`on_view(view)`, `on_config(config)`, `on_workers()` and `on_lease(until)` are called as news come; lists of
+    stores to reach come from views and from the seeds."""
+
+    def __init__(self, ways: Ways, me: str, about: Callable[[], dict], seeds: Callable[[], list[str]], log: Any) -> None:
+        self.ways, self.me, self._about, self._seeds, self._log = ways, me, about, seeds, log
+        self.view = View()
+        self.config: dict | None = None
+        self.workers: dict[str, Worker] = {}
+        self.lease = 0.0  # ms of the loop's clock
+        self.leader, self.term, self.number = "", 0, 0
+        self.changed = asyncio.Event()  # set and cleared at each view
+        self.on_view: list[Callable] = []
+        self.on_config: list[Callable] = []
+        self.on_worker: list[Callable] = []
+        self.on_lease: list[Callable] = []
+        self._hint = ""
+        self._line: Link | None = None
+        self._loop = asyncio.get_running_loop()
+        self._turn = 0
+
+    def now(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def valid(self) -> bool:
+        return self.now() < self.lease
+
+    async def run(self) -> None:
+        """For the life of the process."""
+        self._want()
+        while True:
+            await self._find()
+            await self._stay()
+
+    def _want(self) -> None:
+        self.ways.want(set(self._seeds()) | set(self.view.roster) | set(self.view.huts) | {self.leader} - {""})
+
+    async def _find(self) -> None:
+        while True:
+            self._want()
+            names = [name for name in self.ways.names() if self.ways.near(name)]
+            if self._hint in names:
+                name, self._hint = self._hint, ""
+            elif names:
+                self._turn += 1
+                name = sorted(names)[self._turn % len(names)]
+            else:
+                await asyncio.sleep(LOOK / 1000.0)
+                continue
+            link, sent = self.ways.near(name), self.now()
+            said = self._about() | {"op": "join", "view": msgspec.to_builtins(self.view), "least": self.term}
+            word = await self._asked(link, said)
+            if word is not None and word.get("ok"):
+                self._line, self.leader = link, name
+                self._extend(sent)
+                self._log.say("joined", leader=name, term=word["term"])
+                return
+            self._hint = (word or {}).get("leader") or ""
+            if self._hint == name or not self._hint:
+                await asyncio.sleep(LOOK / 1000.0)
+
+    async def _stay(self) -> None:
+        while True:
+            await asyncio.sleep(RENEW / 1000.0)
+            sent = self.now()
+            word = await self._asked(self._line, self._about() | {"op": "renew", "n": self.number, "term": self.term})
+            if word is None or not word.get("ok"):
+                self._hint = (word or {}).get("leader") or self._hint
+                self._log.say("left_leader", leader=self.leader, answered=word is not None)
+                self.leader, self._line = "", None
+                return
+            self._extend(sent)
+
+    def renew_now(self) -> None:
+        """Something of what this process says of itself has changed."""
+        if self._line is not None and not self._line.closed:
+            self._line.ask(self._about() | {"op": "renew", "n": self.number, "term": self.term}).add_done_callback(
+                lambda future: future.exception()
+            )
+
+    def _extend(self, sent: float) -> None:
+        self.lease = max(self.lease, sent + LEASE)
+        for tell in self.on_lease:
+            tell(self.lease)
+
+    async def _asked(self, link: Link | None, word: dict) -> dict | None:
+        if link is None:
+            return None
+        try:
+            async with asyncio.timeout(ANSWER / 1000.0):
+                head, _ = await link.ask(word)
+                return head
+        except (Broken, TimeoutError):
+            return None
+
+    def news(self, link: Link, word: dict) -> None:
+        """Down the line of the leader that this process has joined, or is joining."""
+        term, number = word["term"], word["n"]
+        if term < self.term or (term == self.term and number <= self.number and not word.get("whole")):
+            return
+        if not word.get("whole") and (term != self.term or word["prev"] != self.number):
+            self._log.say("news_gap", had=self.number, n=number, prev=word["prev"])
+            self.leader = ""
+            link.drop()  # joined anew, it gets a snapshot
+            return
+        self.term, self.number = term, number
+        if (config := word.get("config")) is not None:
+            if self.config is None or config["revision"] > self.config["revision"]:
+                self.config = config
+                for tell in self.on_config:
+                    tell(config)
+        if (view := word.get("view")) is not None:
+            new = msgspec.convert(view, View)
+            if new.number > self.view.number:
+                self.view = new
+                self._want()
+                for tell in self.on_view:
+                    tell(new)
+                self.changed.set()
+                self.changed = asyncio.Event()
+        if (workers := word.get("workers")) is not None:
+            self.workers = {one["id"]: msgspec.convert(one, Worker) for one in workers}
+            for tell in self.on_worker:
+                tell(None)
+        if (worker := word.get("worker")) is not None:
+            self.workers[worker["id"]] = msgspec.convert(worker, Worker)
+            for tell in self.on_worker:
+                tell(worker["id"])
+        if (gone := word.get("gone")) is not None:
+            self.workers.pop(gone, None)
+            for tell in self.on_worker:
+                tell(gone)
+        link.send({"op": "ack", "n": number, "term": term})
--- /dev/null
+++ b/sableford/leconte/view.py
@@ -0,0 +1,74 @@
+"""A view: who the members are and whose each shard is, under one number that only rises.
+
+Duties are cut by key: a message's shard is its key's. A shard has one owner at a time; it changes hands by way of a
+view in which it is nobody's, which the old owner has acknowledged or outlived its lease under.
+"""
+
+from zlib import crc32
+
+import msgspec
+
+SHARDS = 60  # parts that duties are cut into: divides evenly among 3, 4, 5 or 6 stores, three each among 19
+
+Number = tuple[int, int]  # term of the leader, count within it
+
+
+class Hut(msgspec.Struct):
+    """A live store. `whole`: its disk holds all that it ever said to hold."""
+
+    birth: str
+    zone: str
+    node: str = ""
+    control: str = ""
+    leaving: bool = False
+    whole: bool = True
+
+
+class View(msgspec.Struct):
+    number: Number = (0, 0)
+    owners: list[str] = msgspec.field(default_factory=lambda: [""] * SHARDS)
+    births: list[str] = msgspec.field(default_factory=lambda: [""] * SHARDS)  # of the owner's life
+    epochs: list[Number] = msgspec.field(default_factory=lambda: [(0, 0)] * SHARDS)  # since when it is its
+    huts: dict[str, Hut] = {}
+    roster: list[str] = []  # every store that may hold messages, live or not
+
+    def owned(self, name: str, birth: str) -> list[int]:
+        return [at for at, owner in enumerate(self.owners) if owner == name and self.births[at] == birth]
+
+
+def shard_of(key: str) -> int:
+    """
+    >>> 0 <= shard_of("pump-4") < SHARDS
+    True
+    """
+    return crc32(key.encode()) % SHARDS
+
+
+def shares(owners: list[str], huts: list[str]) -> list[str]:
+    """Whose each shard should be: as now where that may stay, evenly, with the fewest moves.
+
+    >>> shares(["a", "a", "a", "b"], ["a", "b"]), shares(["a", "x", "", "b"], ["a", "b"]), shares(["a"], [])
+    (['a', 'a', 'b', 'b'], ['a', 'a', 'b', 'b'], [''])
+    """
+    if not huts:
+        return [""] * len(owners)
+    has: dict[str, list[int]] = {name: [] for name in huts}
+    free: list[int] = []
+    for at, owner in enumerate(owners):
+        (has[owner] if owner in has else free).append(at)
+    least, more = divmod(len(owners), len(huts))
+    # Who has most keeps the larger parts, so that nothing moves for the remainder's sake.
+    ranked = sorted(huts, key=lambda name: (-len(has[name]), name))
+    most = {name: least + (place < more) for place, name in enumerate(ranked)}
+    for name in ranked:
+        free += has[name][most[name] :]
+        del has[name][most[name] :]
+    free.sort()
+    for name in ranked:
+        while len(has[name]) < most[name]:
+            has[name].append(free.pop(0))
+    target = [""] * len(owners)
+    for name, owned in has.items():
+        for at in owned:
+            target[at] = name
+    return target
--- /dev/null
+++ b/sableford/margherita/choice.py
@@ -0,0 +1,162 @@
+"""Which worker takes the next delivery: the design's decision, as one store makes it. No I/O.
+
+A worker's estimate is its reported figure (what the other stores last said to have in flight there) plus own sends
+less own completions. The rotation and the local bound are the module's (`sableford.policy.bound`); what is asked
+for anew are copies that break it. Departures, each with its condition, stand in `docs/design.md`.
+"""
+
+from typing import NamedTuple
+from zlib import crc32
+
+from sableford.policy.bound import AGE_LIMIT, IMBALANCE, MIX, UNCERTAINTY, breaks, within
+
+CROSSING = 0.25  # jobs added to a worker in another zone: crossing has a price (as in the module)
+SLACK = 0.5  # jobs that a copy may be off before a worker counts as full
+COLD = 0.5  # jobs added to a worker that is cold: it is slower for some seconds
+TRIAL_MS = 250.0  # ms until a worker that gave no sign is tried again, doubling with each failure
+TRIAL_MOST = 2000.0
+FAULTS = 2  # breaks in a row: one lost answer says little of a worker
+
+
+class Line(NamedTuple):
+    id: str
+    backend: str
+    host: str
+    port: int
+    zone: str
+    capacity: int
+    ready: bool
+
+
+class Worker:
+    __slots__ = ("asked_at", "cold_until", "doubt_until", "failures", "heard_at", "line", "own", "theirs", "told")
+
+    def __init__(self, line: Line, now: float) -> None:
+        self.line, self.own, self.theirs = line, 0, 0
+        self.told: dict[str, int] = {}  # what each other store has in flight here
+        self.heard_at = now
+        self.asked_at = -1e12
+        self.doubt_until, self.failures = 0.0, 0
+        self.cold_until = 0.0
+
+    def jobs(self) -> int:
+        return self.own + self.theirs
+
+
+class Choice:
+    """The workers as one store knows them."""
+
+    def __init__(self, zone: str, seed: str) -> None:
+        self.zone, self._seed, self._draws = zone, seed, 0
+        self.workers: dict[str, Worker] = {}
+        self._by: dict[str, list[Worker]] = {}
+        self._turn = -1
+        self.changed: set[str] = set()  # workers whose own count is to be told
+        self.stale: set[str] = set()  # workers whose copies are to be refreshed
+
+    def _chance(self, ends: int) -> int:
+        self._draws += 1
+        return crc32(f"{self._seed}:{self._draws}".encode()) * MIX % 2**32 * ends >> 32
+
+    # The list
+
+    def put(self, now: float, line: Line, cold_ms: float) -> None:
+        known = self.workers.get(line.id)
+        if known is not None:
+            known.line = line
+        else:
+            known = self.workers[line.id] = Worker(line, now)
+            # One not yet heard of starts at the others' mean.
+            peers = self._by.get(line.backend, ())
+            known.theirs = 0 if not peers else round(sum(one.theirs for one in peers) / len(peers))
+            known.told["?"] = known.theirs
+        known.cold_until = now + cold_ms
+        known.doubt_until, known.failures = 0.0, 0
+        self._sort()
+
+    def drop(self, id: str) -> None:
+        if self.workers.pop(id, None) is not None:
+            self._sort()
+
+    def keep(self, ids: set[str]) -> None:
+        for id in self.workers.keys() - ids:
+            self.drop(id)
+
+    def _sort(self) -> None:
+        self._by = {}
+        for worker in self.workers.values():
+            if worker.line.ready:
+                self._by.setdefault(worker.line.backend, []).append(worker)
+
+    def slots(self, backend: str) -> int:
+        return sum(one.line.capacity for one in self._by.get(backend, ()))
+
+    # Figures
+
+    def told(self, now: float, store: str, counts: dict[str, int]) -> None:
+        """What another store has in flight now, worker by worker."""
+        for id, count in counts.items():
+            worker = self.workers.get(id)
+            if worker is not None:
+                guess = worker.told.pop("?", 0)
+                worker.theirs += count - worker.told.get(store, 0) - guess
+                worker.told[store] = count
+                worker.heard_at = now
+
+    def forget(self, store: str) -> None:
+        """Who is gone has nothing in flight that anyone waits for."""
+        for worker in self.workers.values():
+            worker.theirs -= worker.told.pop(store, 0)
+
+    def own_counts(self, ids: set[str] | None = None) -> dict[str, int]:
+        return {
+            id: worker.own for id, worker in self.workers.items() if (worker.own if ids is None else id in ids)
+        }
+
+    # The decision
+
+    def choose(self, now: float, backend: str, avoid: str = "") -> Worker | None:
+        """The worker that takes the next delivery; none where all are full by the copies."""
+        pool = self._by.get(backend, ())
+        fit = [one for one in pool if one.doubt_until <= now and not (one.failures >= FAULTS and one.own)]
+        if avoid and len(fit) > 1:
+            fit = [one for one in fit if one.line.id != avoid] or fit
+        indices = []
+        for one in fit:
+            jobs = one.own + one.theirs
+            if jobs + 1 > one.line.capacity + SLACK:
+                continue
+            index = float(jobs)
+            if one.line.zone != self.zone:
+                index += CROSSING
+            if one.cold_until > now:
+                index += COLD
+            indices.append((index, one))
+        if not indices:
+            return None
+        if self._turn < 0:
+            self._turn = self._chance(len(indices))
+        self._turn += 1
+        index, named = indices[self._turn % len(indices)]
+        bound = IMBALANCE - UNCERTAINTY
+        for below, one in breaks(indices, index - bound, lambda one: now - one.heard_at > AGE_LIMIT):
+            del below
+            if now - one.asked_at >= AGE_LIMIT:
+                one.asked_at = now
+                self.stale.add(one.line.id)
+        return within(indices, index, named, bound, self._chance)
+
+    def sent(self, worker: Worker) -> None:
+        worker.own += 1
+        self.changed.add(worker.line.id)
+
+    def finished(self, now: float, worker: Worker, answered: bool, gone: bool) -> None:
+        """A delivery there is over: whether the worker has answered it, and whether it was not to be reached."""
+        worker.own = max(0, worker.own - 1)
+        self.changed.add(worker.line.id)
+        if answered:
+            worker.failures, worker.doubt_until = 0, 0.0
+            return
+        worker.failures += 1
+        if gone or worker.failures >= FAULTS:
+            worker.doubt_until = now + min(TRIAL_MOST, TRIAL_MS * 2.0 ** (worker.failures - 1))
--- /dev/null
+++ b/sableford/margherita/hut.py
@@ -0,0 +1,427 @@
+"""The program of a machine with a disk: keeps messages, delivers them, and holds its part of the core.
+
+It owns the disk, the queue, the courier and the doors; every word from another process ends in a call of one of them.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from sableford.altavia.frames import Frames, frame
+from sableford.altavia.http import Bounds, Door
+from sableford.altavia.links import Broken, Link
+from sableford.altavia.routes import Table
+from sableford.altavia.verdict import Ran, Verdict
+from sableford.leconte.folder import Folder
+from sableford.leconte.lodge import Lodge
+from sableford.leconte.view import View
+from sableford.margherita.choice import Choice, Line
+from sableford.margherita.courier import Courier
+from sableford.margherita.disk import Damaged, Disk
+from sableford.margherita.queue import Queue
+from sableford.margherita.words import (
+    Copy,
+    Deliver,
+    Drop,
+    End,
+    Keep,
+    Late,
+    Message,
+    Pull,
+    Reply,
+    Said,
+    Seek,
+    Settle,
+    TellEnd,
+)
+from sableford.trailhead.life import Life
+from sableford.trailhead.settings import address
+
+TICK = 15.0  # ms between two looks at what is due
+TELL = 40.0  # ms between two words to other stores on what is in flight here
+ASK = 1200.0  # ms for another store's answer; a message that is only late then is asked for elsewhere meanwhile
+SLOW = 500.0  # ms between looks that need not be often
+NODE = b"n"
+
+
+class Hut:
+    def __init__(self, life: Life) -> None:
+        self.life, self.log, self.ways, self.member = life, life.log, life.ways, life.member
+        settings = life.settings
+        self.disk = Disk(Path(settings.data_dir) / "margherita", settings.limits.disk_mb)
+        self.choice = Choice(settings.zone, settings.node_name)
+        self.courier = Courier()
+        self.queue: Queue | None = None
+        self.lodge = Lodge(
+            life.me, sorted(settings.seeds), life.ways, self.disk, settings.heartbeat_ms, life.log, life.member
+        )
+        self.bounds = Bounds()
+        self.bounds.body = 1_048_576
+        self.door = Door(self.lodge.handle, self.bounds)
+        self._whole = False
+
+    async def run(self) -> None:
+        """Until it is told to end, and all it had has been handed over."""
+        self._open()
+        life, settings = self.life, self.life.settings
+        life.ops |= {
+            "join": lambda link, head, raw: self.lodge.join(link, head),
+            "renew": lambda link, head, raw: self.lodge.renew(link, head),
+            "ack": lambda link, head, raw: self.lodge.ack(link, head),
+            "raft": self.lodge.raft,
+            "put": self._put,
+            "copy": self._copy,
+            "part": lambda link, head, raw: self._do(self.queue.part(life.now(), _clean(head), raw)),
+            "end": self._end,
+            "drop": self._drop,
+            "pull": lambda link, head, raw: life.task(self._pull(link, head)),
+            "settle": lambda link, head, raw: link.answer(head, {"ends": self.queue.settled_by(head["refs"])}),
+            "seek": self._sought,
+            "late": self._late,
+            "told": lambda link, head, raw: self.choice.told(life.now(), link.peer, head["counts"]),
+            "figures": lambda link, head, raw: link.send(
+                {"op": "told", "counts": self.choice.own_counts(set(head["ids"]))}
+            ),
+            "status": self._status,
+            "body": lambda link, head, raw: life.task(self._body(link, head)),
+        }
+        self.member.on_view.append(self._view)
+        self.member.on_config.append(self._config)
+        self.member.on_worker.append(self._worker)
+        self.member.on_lease.append(self._lease)
+        self.ways.up.append(self._up)
+        await life.listen()
+        self.lodge.start(self._folder)
+        if settings.bind_addrs.control_rpc:
+            await self.door.listen(address(settings.bind_addrs.control_rpc))
+        self.loop = life.loop
+        self._tick()
+        self._tell()
+        self._slow()
+        await life.ending.wait()
+        await self._leave()
+
+    def _open(self) -> None:
+        """Before anything is served: what the folder holds."""
+        settings, life = self.life.settings, self.life
+        self.disk.open()
+        now, unix = life.now(), time.time() * 1000.0
+        node = dict(self.disk.load(NODE)).get(NODE)
+        self._whole = node == b"whole" or (node is None and settings.bootstrap)
+        if self.disk.lost:
+            self.log.say("disk_lost", problem=self.disk.lost)
+        self.queue = Queue(
+            life.me,
+            life.birth,
+            settings.tolerates.machine_loss,
+            Table(),
+            self.choice,
+            settings.rule_bounds.status_ttl_s,
+            self._whole,
+        )
+        self.queue.unix = unix
+        self._marked = node is not None
+        for key, value in self.disk.load(b"e"):
+            self.queue.ends[key[1:].decode()] = End.load(orjson.loads(value))
+        for _, value in self.disk.load(b"m"):
+            head, _ = Frames().feed(value)[0]
+            due, born = now + head.pop("due_unix") - unix, now + head.pop("born_unix") - unix
+            head.pop("raw", None)
+            message = Message(head, None, due, min(born, now))
+            if message.ref in self.queue.ends:
+                continue  # a dead letter, whose bytes are kept
+            message.synced = True
+            self.queue.held[message.ref] = message
+        self._folder = Folder(self.disk.load(b"r"))
+        self.log.say(
+            "folder",
+            whole=self._whole,
+            messages=len(self.queue.held),
+            ends=len(self.queue.ends),
+            entries=len(self._folder.held.entries),
+        )
+
+    # Time
+
+    def _tick(self) -> None:
+        self.loop.call_later(TICK / 1000.0, self._tick)
+        now = self.life.now()
+        self.queue.quiet = {name for name in self.ways.names() if self.ways.near(name) is None}
+        self._do(self.queue.tick(now, time.time() * 1000.0))
+
+    def _tell(self) -> None:
+        """What is in flight here, to those who decide on the same workers; and whose figures are wanted."""
+        self.loop.call_later(TELL / 1000.0, self._tell)
+        if changed := self.choice.changed:
+            word = {"op": "told", "counts": self.choice.own_counts(changed)}
+            self._to_all(word)
+            self.choice.changed = set()
+        if stale := self.choice.stale:
+            self._to_all({"op": "figures", "ids": sorted(stale)})
+            self.choice.stale = set()
+
+    def _to_all(self, word: dict) -> None:
+        for name in self.member.view.huts:
+            if name != self.life.me and (link := self.ways.link(name)) is not None:
+                link.send(word)
+
+    def _up(self, name: str, link: Link) -> None:
+        link.send({"op": "told", "counts": self.choice.own_counts()})
+
+    def _slow(self) -> None:
+        self.loop.call_later(SLOW / 1000.0, self._slow)
+        self.courier.sweep(set(self.choice.workers))
+        self._do(self.queue.repair(self.life.now()))
+        if old := self.queue.age(time.time() * 1000.0):
+            self.disk.write([(kind + ref.encode(), None) for ref in old for kind in (b"e", b"m")])
+        self.life.said = {"whole": self.queue.whole, "audits": self.queue.audits()}
+        if self.queue.whole and not self._marked:
+            self._marked = True
+            self.disk.write([(NODE, b"whole")])
+
+    # News
+
+    def _view(self, view: View) -> None:
+        self.lodge.council.mirror(view, self.member.workers.values(), self.life.now())
+        self._do(self.queue.see(self.life.now(), view))
+
+    def _config(self, config: dict) -> None:
+        self._do(self.queue.configure(self.life.now(), Table(config["revision"], config["doc"])))
+
+    def _worker(self, id: str | None) -> None:
+        now, workers = self.life.now(), self.member.workers
+        if id is None:
+            self.choice.keep(set(workers))
+        elif id not in workers:
+            self.choice.drop(id)
+        for worker in workers.values() if id is None else filter(None, [workers.get(id)]):
+            host, port = address(worker.address)
+            ready = worker.phase == "ready"
+            line = Line(worker.id, worker.backend, host, port, worker.zone, worker.capacity, ready)
+            self.choice.put(now, line, worker.cold_ms)
+        self.lodge.council.mirror(self.member.view, workers.values(), now)
+        self._do(self.queue.tick(now, time.time() * 1000.0))
+
+    def _lease(self, until: float) -> None:
+        if self.queue is not None:
+            self.queue.lease = until
+
+    # Words from other processes
+
+    def _put(self, link: Link, head: dict, raw: bytes) -> None:
+        self._do(self.queue.put(self.life.now(), head, raw, (link, head)))
+
+    def _copy(self, link: Link, head: dict, raw: bytes) -> None:
+        now, ref = self.life.now(), head["ref"]
+        if not self.queue.copy(now, link.peer, head, raw):
+            link.answer(head, {"yes": False})
+            return
+        message = self.queue.held.get(ref)
+        if message is None or message.synced:
+            link.answer(head, {"yes": True})
+            return
+        self._write(message, lambda problem: self._copy_kept(link, head, ref, problem))
+
+    def _copy_kept(self, link: Link, head: dict, ref: str, problem: BaseException | None) -> None:
+        if problem is None:
+            self.queue.copy_kept(ref)
+        link.answer(head, {"yes": problem is None})
+
+    def _end(self, link: Link, head: dict, raw: bytes) -> None:
+        ref, end = head["ref"], End.load(head["end"])
+        self.queue.end_told(self.life.now(), ref, end)
+        future = self.disk.write(_end_puts(ref, end))
+        future.add_done_callback(lambda done: link.answer(head, {"yes": done.exception() is None}))
+
+    def _drop(self, link: Link, head: dict, raw: bytes) -> None:
+        if self.queue.dropped(self.life.now(), head["ref"]):
+            self.disk.write([(b"m" + head["ref"].encode(), None)])
+
+    async def _pull(self, link: Link, head: dict) -> None:
+        now = self.life.now()
+        word, messages = self.queue.pulled_by(now, head["shards"], head["have"], head["parts"])
+        for message in messages:
+            body = await self._bytes(message)
+            if body is not None:
+                link.send({"op": "part", **message.head, **message.times(self.life.now())}, body)
+        link.answer(head, word | {"shards": head["shards"]})
+
+    def _sought(self, link: Link, head: dict, raw: bytes) -> None:
+        end = self.queue.ends.get(head["ref"])
+        link.answer(head, {"end": list(end) if end else None, "held": head["ref"] in self.queue.held})
+
+    def _late(self, link: Link, head: dict, raw: bytes) -> None:
+        verdict = Verdict(Ran(head["ran"]), head["why"], head["seal"], head["reached"])
+        self._do(self.queue.late(self.life.now(), link.peer, head["ref"], head["shard"], verdict))
+
+    def _status(self, link: Link, head: dict, raw: bytes) -> None:
+        link.answer(head, {"state": self.queue.status(head["ref"])})
+
+    async def _body(self, link: Link, head: dict) -> None:
+        message = self.queue.held.get(head["ref"])
+        body = message.body if message is not None else None
+        if body is None:
+            body = await self._read(head["ref"])
+        link.answer(head, {"found": body is not None}, body or b"")
+
+    async def _bytes(self, message: Message) -> bytes | None:
+        return message.body if message.body is not None else await self._read(message.ref)
+
+    async def _read(self, ref: str) -> bytes | None:
+        try:
+            value = await self.disk.read(b"m" + ref.encode())
+        except Damaged as problem:
+            self.log.say("message_damaged", ref=ref, problem=str(problem))
+            return None
+        return None if value is None else Frames().feed(value)[0][1]
+
+    # Effects
+
+    def _write(self, message: Message, then: Callable[[BaseException | None], None]) -> None:
+        now, unix = self.life.now(), time.time() * 1000.0
+        head = message.head | {"due_unix": unix + message.due - now, "born_unix": unix + message.born - now}
+        future = self.disk.write([(b"m" + message.ref.encode(), frame(head, message.body or b""))], more=True)
+        future.add_done_callback(lambda done: then(done.exception()))
+
+    def _do(self, effects: Iterable[Any]) -> None:
+        for effect in effects:
+            match effect:
+                case Deliver():
+                    self.life.task(self._deliver(effect))
+                case Reply(waiter, word):
+                    waiter[0].answer(waiter[1], word)
+                case Keep(what, ref):
+                    self._keep(what, ref)
+                case Copy(to, ref, epoch):
+                    self._send_copy(to, ref, epoch)
+                case TellEnd(to, ref, _, end):
+                    word = {"op": "end", "ref": ref, "end": list(end)}
+                    self._ask(to, word, lambda got, to=to, ref=ref: self._end_told(ref, to, got))
+                case Drop(to, ref):
+                    if (link := self.ways.link(to)) is not None:
+                        link.send({"op": "drop", "ref": ref})
+                case Pull(to, round, shards, have, parts):
+                    word = {"op": "pull", "shards": shards, "have": have, "parts": parts}
+                    self._ask(to, word, lambda got, to=to, round=round: self._pulled(to, round, got))
+                case Settle(to, round, refs):
+                    word = {"op": "settle", "refs": refs}
+                    self._ask(to, word, lambda got, to=to, round=round: self._settled(to, round, got))
+                case Seek(to, ref):
+                    word = {"op": "seek", "ref": ref}
+                    self._ask(to, word, lambda got, to=to, ref=ref: self._found(to, ref, got))
+                case Late(to, ref, shard, verdict):
+                    if (link := self.ways.link(to)) is not None:
+                        ran, why, seal, reached = verdict
+                        link.send(
+                            {"op": "late", "ref": ref, "shard": shard, "ran": ran.value, "why": why}
+                            | {"seal": seal, "reached": reached}
+                        )
+                case Said(event, facts):
+                    self.log.say(event, **facts)
+
+    def _ask(self, to: str, word: dict, then: Callable[[dict | None], None], raw: bytes = b"") -> None:
+        """`then` gets the answer, or None where there is none in time."""
+        link = self.ways.link(to)
+        if link is None:
+            self.loop.call_later(TICK / 1000.0, then, None)
+            return
+        future = link.ask(word, raw)
+        timer = self.loop.call_later(ASK / 1000.0, future.cancel)
+
+        def answered(done: asyncio.Future) -> None:
+            timer.cancel()
+            none = done.cancelled() or isinstance(done.exception(), Broken)
+            then(None if none else done.result()[0])
+
+        future.add_done_callback(answered)
+
+    def _keep(self, what: str, ref: str) -> None:
+        message = self.queue.held.get(ref)
+        key = ref.encode()
+        if what == "m" and message is not None:
+            self._write(message, lambda problem: self._kept("m", ref, problem))
+        elif what == "e" and message is not None:
+            self.disk.write(_end_puts(ref, message.end)).add_done_callback(lambda done: self._kept("e", ref, done.exception()))
+        elif what == "d":
+            self.disk.write([(b"m" + key, None)])
+
+    def _kept(self, what: str, ref: str, problem: BaseException | None) -> None:
+        if problem is not None:
+            self.log.say("disk_refused", ref=ref, problem=repr(problem))
+        elif what == "m" and ref in self.queue.held and self.queue.held[ref].shard not in self.queue.owned:
+            self.queue.copy_kept(ref)
+        self._do(self.queue.kept(self.life.now(), what, ref, repr(problem) if problem else ""))
+
+    def _send_copy(self, to: str, ref: str, epoch: tuple) -> None:
+        message = self.queue.held.get(ref)
+        if message is None:
+            return
+        if message.body is None:
+            self.life.task(self._load_and_copy(to, message, epoch))
+            return
+        word = {"op": "copy", **message.head, **message.times(self.life.now()), "epoch": list(epoch)}
+        word["tries"] = message.tries
+        self._ask(to, word, lambda got: self._copied(ref, to, got), message.body)
+
+    async def _load_and_copy(self, to: str, message: Message, epoch: tuple) -> None:
+        message.body = await self._bytes(message)
+        if message.body is not None and message.ref in self.queue.held:
+            self._send_copy(to, message.ref, epoch)
+
+    def _copied(self, ref: str, to: str, got: dict | None) -> None:
+        self._do(self.queue.copied(self.life.now(), ref, to, got is not None and got.get("yes", False)))
+
+    def _end_told(self, ref: str, to: str, got: dict | None) -> None:
+        self._do(self.queue.end_copied(self.life.now(), ref, to, got is not None and got.get("yes", False)))
+
+    def _pulled(self, to: str, round: int, got: dict | None) -> None:
+        self._do(self.queue.pulled(self.life.now(), to, round, got))
+
+    def _settled(self, to: str, round: int, got: dict | None) -> None:
+        self._do(self.queue.settled(self.life.now(), to, round, got["ends"] if got else None))
+
+    def _found(self, to: str, ref: str, got: dict | None) -> None:
+        self._do(self.queue.sought(self.life.now(), to, ref, got))
+
+    async def _deliver(self, effect: Deliver) -> None:
+        message, worker = self.queue.held.get(effect.ref), self.choice.workers.get(effect.worker)
+        verdict = Verdict(Ran.NOT_RUN, "gone before it was sent")
+        if message is not None and worker is not None:
+            body = await self._bytes(message)
+            if body is None:
+                verdict = Verdict(Ran.NOT_RUN, "its bytes can't be read")
+            else:
+                message.body = body
+                verdict = await self.courier.deliver(message, body, worker.line, effect.until)
+        if verdict.ran in (Ran.MAYBE, Ran.NOT_RUN, Ran.NEVER):
+            self.log.say("delivery", ref=effect.ref, worker=effect.worker, ran=verdict.ran.value, why=verdict.why)
+        self._do(self.queue.delivered(self.life.now(), effect.ref, effect.worker, verdict))
+
+    # The end
+
+    async def _leave(self) -> None:
+        """Hands its shards on, waits for what is at workers, tells their owners, and goes."""
+        grace = self.life.settings.rule_bounds.grace_s * 1000.0
+        begun = self.life.now()
+        while self.life.now() - begun < grace - 1500.0:
+            await asyncio.sleep(0.02)
+            owns = self.queue.owned or self.queue.collects
+            if not owns and not self.queue.out and not self.queue._late:
+                break
+        self.door.shut()
+        await asyncio.sleep(0.1)
+        self.log.say("ended", owned=len(self.queue.owned), out=len(self.queue.out))
+
+
+def _clean(head: dict) -> dict:
+    return {name: value for name, value in head.items() if name not in ("op", "q", "raw")}
+
+
+def _end_puts(ref: str, end: End) -> list[tuple[bytes, bytes | None]]:
+    """An end in place of its message; the bytes of a dead letter stay, since they are asked for."""
+    puts: list[tuple[bytes, bytes | None]] = [(b"e" + ref.encode(), end.dump())]
+    return puts if end.phase == "dead_letter" else [*puts, (b"m" + ref.encode(), None)]
--- /dev/null
+++ b/sableford/trailhead/cli.py
@@ -0,0 +1,104 @@
+"""The command line. Exit codes: 0 after SIGTERM, 2 with one line for a bad start, 70 after a failure inside."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import uvloop
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from sableford.trailhead import settings as settings_file
+from sableford.trailhead.settings import Settings, SettingsError
+
+
+def _serve(role: str, file: Path, settings: Settings) -> None:
+    from sableford.trailhead.life import Life
+
+    async def run() -> None:
+        life = Life(settings, file, role)
+        if role == "store":
+            from sableford.margherita.hut import Hut
+
+            await Hut(life).run()
+        else:
+            from sableford.sapienza.gate import Gate
+
+            await Gate(life).run()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+
+
+class _Serve(Command):
+    options = [option("settings", "s", "The settings file; else the one that SABLEFORD_SETTINGS names.", flag=False)]  # noqa: RUF012
+    role = ""
+
+    def handle(self) -> int:
+        file = Path(self.option("settings") or settings_file.path())
+        try:
+            settings = settings_file.read(file)
+            if self.role == "store" and not settings.data_dir:
+                raise SettingsError(f"{file}: dataDir: a store needs a folder")
+            if self.role == "edge" and not settings.bind_addrs.public_http:
+                raise SettingsError(f"{file}: bindAddrs.publicHttp: an edge needs an address for clients")
+        except SettingsError as problem:
+            sys.stderr.write(f"{problem}\n")
+            return 2
+        _serve(self.role, file, settings)
+        return 0
+
+
+class Sapienza(_Serve):
+    name = "sapienza"
+    description = "Takes messages in from clients (edge machines)."
+    role = "edge"
+
+
+class Margherita(_Serve):
+    name = "margherita"
+    description = "Keeps messages, delivers them, and holds its part of the core (storage machines)."
+    role = "store"
+
+
+class Check(Command):
+    name = "check"
+    description = "Reads a settings file, or a configuration (JSON), and says what is wrong with it."
+    arguments = [argument("file", "The file.")]  # noqa: RUF012
+    options = [option("configuration", "c", "It is a configuration, not a settings file.", flag=True)]  # noqa: RUF012
+
+    def handle(self) -> int:
+        file = Path(self.argument("file"))
+        try:
+            if self.option("configuration"):
+                import orjson
+
+                from sableford.leconte.book import Invalid, check
+
+                try:
+                    found = check(orjson.loads(file.read_bytes()))
+                except OSError as problem:
+                    raise SettingsError(f"{file}: {problem.strerror}") from None
+                except (Invalid, orjson.JSONDecodeError) as problem:
+                    raise SettingsError(f"{file}: {problem}") from None
+                self.line(f"revision {found.revision}: {len(found.routes)} routes, {len(found.backends)} backends")
+            else:
+                settings = settings_file.read(file)
+                self.line(f"{settings.node_name} in {settings.zone}: {', '.join(settings.serves) or 'no duty'}")
+        except SettingsError as problem:
+            self.line_error(str(problem))
+            return 2
+        return 0
+
+
+def main(words: list[str] | None = None) -> int:
+    application = Application("sableford", "0.3.0")
+    for command in (Sapienza(), Margherita(), Check()):
+        application.add(command)
+    application.auto_exits(False)
+    if words is None:
+        return application.run()
+    from cleo.io.inputs.argv_input import ArgvInput
+
+    return application.run(ArgvInput(["sableford", *words]))
--- /dev/null
+++ b/sableford/trailhead/settings.py
@@ -0,0 +1,124 @@
+"""The settings file: what the installation tells a process. Unknown fields are passed over."""
+
+import os
+from pathlib import Path
+
+import msgspec
+import yaml
+
+VARIABLE = "SABLEFORD_SETTINGS"
+DEFAULT = "/etc/sableford/settings.yaml"
+
+
+class SettingsError(Exception):
+    """One line: the file, the field, what is wrong with it."""
+
+
+class Limits(msgspec.Struct, rename="camel"):
+    cpu_share: float = 1.0
+    cpu_cores: float = 1
+    memory_mb: float = 256
+    max_fds: int = 1024
+    link_mbps: float = 1000.0
+    disk_mb: float = 0
+
+
+class Addresses(msgspec.Struct, rename="camel"):
+    public_http: str | None = None
+    ready_probe: str | None = None
+    control_rpc: str | None = None
+
+
+class Tolerates(msgspec.Struct, rename="camel"):
+    machine_loss: int = 0
+    zones: int = 0
+    region_loss: int = 0
+
+
+class Bounds(msgspec.Struct, rename="camel"):
+    """`ruleBounds`; in ms and seconds as the names say."""
+
+    seed_stale_s: float = 3
+    addr_reuse_s: float = 2
+    quiet_ms: float = 4000
+    order_ack_ms: float = 5000
+    sync_s: float = 4
+    drain_ms: float = 3000
+    grace_s: float = 6
+    apply_ms: float = 3000
+    recovery_s: float = 12
+    done_s: float = 10
+    status_ttl_s: float = 120
+    not_before_ms: float = 100
+
+
+class Settings(msgspec.Struct, rename="camel"):
+    node_name: str
+    bind_ip: str
+    zone: str
+    port_range: tuple[int, int]
+    serves: list[str] = []
+    role: str = ""
+    machine_class: str = ""
+    region: str = ""
+    zones: dict[str, str] = {}
+    bind_addrs: Addresses = msgspec.field(default_factory=Addresses)
+    seed_nodes: list[str] = []
+    bootstrap: bool = False
+    quorum_member: bool = False
+    limits: Limits = msgspec.field(default_factory=Limits)
+    data_dir: str | None = None
+    heartbeat_ms: float = 1200
+    tolerates: Tolerates = msgspec.field(default_factory=Tolerates)
+    rule_bounds: Bounds = msgspec.field(default_factory=Bounds)
+
+    @property
+    def seeds(self) -> list[str]:
+        """The hosts of the seeds; their inner port is the own one, since ports are alike on all machines."""
+        return [address(text)[0] for text in self.seed_nodes]
+
+
+def address(text: str) -> tuple[str, int]:
+    """
+    >>> address("10.0.0.4:8000")
+    ('10.0.0.4', 8000)
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address")
+    return host, int(port)
+
+
+def path() -> Path:
+    return Path(os.environ.get(VARIABLE, DEFAULT))
+
+
+def read(file: Path) -> Settings:
+    """Raises SettingsError."""
+    try:
+        text = file.read_text()
+    except OSError as problem:
+        raise SettingsError(f"{file}: {problem.strerror}") from None
+    return parse(text, str(file))
+
+
+def parse(text: str, name: str) -> Settings:
+    """
+    >>> parse("nodeName: a", "s.yaml")
+    Traceback (most recent call last):
+    ...
+    sableford.trailhead.settings.SettingsError: s.yaml: Object missing required field `bindIp`
+    """
+    try:
+        given = yaml.load(text, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
+        settings = msgspec.convert(given, Settings, strict=False)
+        for one in settings.seed_nodes:
+            address(one)
+        for field in ("public_http", "ready_probe", "control_rpc"):
+            if (value := getattr(settings.bind_addrs, field)) is not None:
+                address(value)
+    except yaml.YAMLError as problem:
+        raise SettingsError(f"{name}: no YAML: {' '.join(str(problem).split())}") from None
+    except (msgspec.ValidationError, ValueError) as problem:
+        raise SettingsError(f"{name}: {problem}") from None
+    return settings
