Keep the end of a delivery that the former owner had out; ask after new workers

Change: the former owner keeps the end itself and says it until it is heard; what comes during a taking over is kept; a delivery that nobody ends is looked at again after its deadline; figures of a new worker are asked for at once.

--- a/sableford/margherita/choice.py
+++ b/sableford/margherita/choice.py
@@ -70,6 +70,7 @@
             peers = self._by.get(line.backend, ())
             known.theirs = 0 if not peers else round(sum(one.theirs for one in peers) / len(peers))
             known.told["?"] = known.theirs
+            self.stale.add(line.id)  # a guess that it is full would stand as long as nobody sends there
         known.cold_until = now + cold_ms
         known.doubt_until, known.failures = 0.0, 0
         self._sort()
@@ -109,9 +110,7 @@
             worker.theirs -= worker.told.pop(store, 0)
 
     def own_counts(self, ids: set[str] | None = None) -> dict[str, int]:
-        return {
-            id: worker.own for id, worker in self.workers.items() if (worker.own if ids is None else id in ids)
-        }
+        return {id: worker.own for id, worker in self.workers.items() if ids is None or id in ids}
 
     # The decision
 
--- a/sableford/margherita/hut.py
+++ b/sableford/margherita/hut.py
@@ -257,6 +257,7 @@
     def _late(self, link: Link, head: dict, raw: bytes) -> None:
         verdict = Verdict(Ran(head["ran"]), head["why"], head["seal"], head["reached"])
         self._do(self.queue.late(self.life.now(), link.peer, head["ref"], head["shard"], verdict))
+        link.answer(head, {"yes": True})
 
     def _status(self, link: Link, head: dict, raw: bytes) -> None:
         link.answer(head, {"state": self.queue.status(head["ref"])})
@@ -314,12 +315,10 @@
                     word = {"op": "seek", "ref": ref}
                     self._ask(to, word, lambda got, to=to, ref=ref: self._found(to, ref, got))
                 case Late(to, ref, shard, verdict):
-                    if (link := self.ways.link(to)) is not None:
-                        ran, why, seal, reached = verdict
-                        link.send(
-                            {"op": "late", "ref": ref, "shard": shard, "ran": ran.value, "why": why}
-                            | {"seal": seal, "reached": reached}
-                        )
+                    ran, why, seal, reached = verdict
+                    word = {"op": "late", "ref": ref, "shard": shard, "ran": ran.value, "why": why}
+                    word |= {"seal": seal, "reached": reached}
+                    self._ask(to, word, lambda got, ref=ref: self.queue.told_late(ref) if got else None)
                 case Said(event, facts):
                     self.log.say(event, **facts)
 
@@ -409,8 +408,7 @@
         begun = self.life.now()
         while self.life.now() - begun < grace - 1500.0:
             await asyncio.sleep(0.02)
-            owns = self.queue.owned or self.queue.collects
-            if not owns and not self.queue.out and not self.queue._late:
+            if not self.queue.busy():
                 break
         self.door.shut()
         await asyncio.sleep(0.1)
--- a/sableford/margherita/queue.py
+++ b/sableford/margherita/queue.py
@@ -46,6 +46,7 @@
 RETRY = 20.0  # ms before one that failed is tried again, doubling
 LATE_TURN = 8  # one in so many deliveries is of a message past its aim, while others still keep theirs
 NEWER = 30.0  # ms before a message for a route not known yet is looked at again
+AWAY_SLACK = 400.0  # ms past its deadline that the word on a delivery of the owner before may take
 PARKED = 2000  # puts that wait for a shard to be taken over; more are sent back
 SEEK = 250.0  # ms for all to say whether they know one
 GRACE_S = 30.0  # ends are kept longer than they are asked for by this
@@ -54,11 +55,11 @@
 class _Collect:
     """One taking over: whom to ask, who has answered, what has come together."""
 
-    def __init__(self, shards: set[int]) -> None:
-        self.shards = shards
+    def __init__(self, number: int, shards: set[int]) -> None:
+        self.number, self.shards = number, shards
         self.asked: dict[str, str] = {}  # store: birth
         self.answered: dict[str, bool] = {}  # store: whether its folder is whole
-        self.refs: set[str] = set()
+        self.over: set[tuple[str, str]] = set()  # deliveries of another store of which the end is known
         self.settling: set[str] | None = None
 
 
@@ -192,9 +193,11 @@
         if what == "m":
             message.synced = True
             self._check(now, message)
-        elif what == "e":
+        elif what == "e" and message.state is State.ENDING:
             message.end_held.add(self.me)
             self._check_end(now, message)
+        elif what == "e" and message.shard not in self.owned and message.shard not in self.collects:
+            self._forget(now, message)
         return self._done()
 
     def _untake(self, now: float, message: Message, word: dict) -> None:
@@ -310,7 +313,7 @@
                 self._say(Reply(waiter, {"no": "owner"}))
         fresh = {at for at in mine if at not in self.owned and at not in self.collects}
         if fresh:
-            collect = _Collect(fresh)
+            collect = _Collect(next(self._rounds), fresh)
             for at in fresh:
                 self.collects[at] = collect
         for message in self.held.values():
@@ -346,12 +349,9 @@
             if collect.asked.get(name) != birth:
                 collect.asked[name] = birth
                 have = [one.ref for one in self.held.values() if one.shard in collect.shards]
-                self._say(Pull(name, self._number(collect), sorted(collect.shards), have, True))
+                self._say(Pull(name, collect.number, sorted(collect.shards), have, True))
         self._gather(now, collect)
 
-    def _number(self, collect: _Collect) -> int:
-        return id(collect) % 2**31
-
     def _release(self, now: float, shard: int) -> None:
         """Ours no more: nothing of it begins here from now on."""
         del self.owned[shard]
@@ -372,7 +372,7 @@
 
     def pulled(self, now: float, store: str, number: int, word: dict | None) -> list[Effect]:
         """Another store's answer, its messages having come before it; none where it did not answer."""
-        collect = next((one for one in self._rounds_open() if self._number(one) == number), None)
+        collect = next((one for one in self._rounds_open() if one.number == number), None)
         if collect is None:
             return self._compared_by(now, store, number, word)
         if store not in collect.asked:
@@ -382,11 +382,10 @@
             return self._done()
         collect.answered[store] = word["whole"]
         for ref in word["refs"]:
-            collect.refs.add(ref)
             if (message := self.held.get(ref)) is not None:
                 message.held.add(store)
         for ref in word["out"]:
-            if (message := self.held.get(ref)) is not None:
+            if (message := self.held.get(ref)) is not None and (store, ref) not in collect.over:
                 message.away = store
         for ref, tries in word["tries"].items():
             if (message := self.held.get(ref)) is not None:
@@ -413,14 +412,14 @@
             refs = sorted(ref for ref, one in self.held.items() if one.shard in collect.shards and ref not in self.ends)
             if refs:
                 for name in sorted(collect.settling):
-                    self._say(Settle(name, self._number(collect), refs))
+                    self._say(Settle(name, collect.number, refs))
             else:
                 collect.settling = set()
         if not collect.settling:
             self._open(now, collect)
 
     def settled(self, now: float, store: str, number: int, ends: dict | None) -> list[Effect]:
-        collect = next((one for one in self._rounds_open() if self._number(one) == number), None)
+        collect = next((one for one in self._rounds_open() if one.number == number), None)
         if collect is None or collect.settling is None or store not in collect.settling:
             return self._done()
         if ends is None:
@@ -453,7 +452,7 @@
                 message.copied_at = {}
                 self._copy(now, message)
             if message.away and message.away in self.view.huts:
-                message.state = State.AWAY
+                self._go_away(now, message)
             else:
                 message.away, message.state = "", State.WAITING
                 self._line_up(now, message)
@@ -463,6 +462,13 @@
                 self._effects = self.put(now, head, body, waiter)  # it gives all so far
         self._pump(now)
 
+    def _go_away(self, now: float, message: Message) -> None:
+        """Out there still, sent by the owner before; its worker stops work at the deadline."""
+        message.state = State.AWAY
+        route = self._route(message)
+        message.at = now + (route.deadline_ms if route else 1000.0) + AWAY_SLACK
+        heappush(self._delayed, (message.at, next(self._order), message.ref))
+
     # Comparing a store that has come back
 
     def _compare(self, name: str) -> None:
@@ -623,6 +629,10 @@
         elif shard is not None:
             self._late[ref] = verdict
             self.out[ref] = shard  # until the owner has been told
+            if verdict.ran in (Ran.DONE, Ran.NEVER) and message is not None and ref not in self.ends:
+                # Known here for good, whoever asks; the owner keeps it too.
+                self.ends[ref] = message.end = self._end_of(verdict)
+                self._say(Keep("e", ref))
             self._send_late(now)
         self._pump(now)
         return self._done()
@@ -633,39 +643,48 @@
             owner = self.view.owners[shard]
             if owner and owner != self.me:
                 self._say(Late(owner, ref, shard, verdict))
-                del self._late[ref]
-                self.out.pop(ref, None)
             elif owner == self.me and shard in self.owned:
-                del self._late[ref]
-                self.out.pop(ref, None)
-                message = self.held.get(ref)
-                if message is not None and message.state in (State.AWAY, State.WAITING):
-                    self._effects = self.late(now, self.me, ref, shard, verdict)
+                self.told_late(ref)
+                self._effects = self.late(now, self.me, ref, shard, verdict)
+
+    def told_late(self, ref: str) -> None:
+        """The owner knows."""
+        if self._late.pop(ref, None) is not None:
+            self.out.pop(ref, None)
+
+    def busy(self) -> bool:
+        """Whether anything begun here has not ended, or its end is not known to the owner."""
+        return bool(self.owned or self.collects or self.out)
 
     def late(self, now: float, sender: str, ref: str, shard: int, verdict: Verdict) -> list[Effect]:
         """How a delivery of the owner before has ended."""
         message = self.held.get(ref)
-        if message is None or ref in self.ends:
+        if ref in self.ends:
             return self._done()
-        if shard in self.collects and verdict.ran in (Ran.DONE, Ran.NEVER):
-            phase = "complete" if verdict.ran is Ran.DONE else "dead_letter"
-            self.ends[ref] = self._ended_as(phase, verdict.why, verdict.seal)
-        elif shard in self.collects:
-            message.away = ""
-        elif shard in self.owned and message.state is State.AWAY and message.away == sender:
+        if (collect := self.collects.get(shard)) is not None:
+            collect.over.add((sender, ref))
+            if verdict.ran in (Ran.DONE, Ran.NEVER):
+                self.ends[ref] = self._end_of(verdict)
+            elif message is not None:
+                message.away = ""
+        elif message is None or shard not in self.owned:
+            pass
+        elif message.state is State.AWAY and message.away == sender:
             message.away = ""
             self._judge(now, message, verdict)
             self._pump(now)
-        elif shard in self.owned and message.state is State.WAITING and verdict.ran is Ran.DONE:
+        elif message.state is State.WAITING and verdict.ran is Ran.DONE:
             self._judge(now, message, verdict)
         return self._done()
 
+    def _end_of(self, verdict: Verdict) -> End:
+        phase = "complete" if verdict.ran is Ran.DONE else "dead_letter"
+        return self._ended_as(phase, verdict.why, verdict.seal)
+
     def _judge(self, now: float, message: Message, verdict: Verdict) -> None:
         """What a verdict means for its message."""
-        if verdict.ran is Ran.DONE:
-            self._end(now, message, self._ended_as("complete", "", verdict.seal))
-        elif verdict.ran is Ran.NEVER:
-            self._end(now, message, self._ended_as("dead_letter", verdict.why))
+        if verdict.ran in (Ran.DONE, Ran.NEVER):
+            self._end(now, message, self._end_of(verdict))
         elif verdict.ran is Ran.FAILED:
             message.tries += 1
             route = self._route(message)
@@ -764,7 +783,11 @@
         while self._delayed and self._delayed[0][0] <= now:
             _, _, ref = heappop(self._delayed)
             message = self.held.get(ref)
-            if message is not None and message.shard in self.owned:
+            if message is None or message.shard not in self.owned:
+                continue
+            if message.state is State.AWAY and message.at <= now:
+                self._back(now, message, 0.0)
+            else:
                 self._line_up(now, message)
         for ref in list(self._taking):
             message = self.held[ref]
@@ -801,7 +824,8 @@
         return old
 
     def repair(self, now: float) -> list[Effect]:
-        """Copies that are still short, now and then."""
+        """What is still short or untold, now and then."""
+        self._send_late(now)
         for message in self.held.values():
             if message.shard in self.owned and message.state not in (State.TAKING, State.ENDING):
                 if not self._safe(message):
