End a message at its owner whoever says so; walks in simulated time and tests

By reading: an answer that compares a store, late by a change of hands, could have had a good copy dropped. By walks: an end known to one store alone went with its planned restart; ends were not told again to a store whose folder was lost. Change: an end that is told ends the message; drops carry the epoch; ends are spread on after a shard has been handed over; a store that lost its folder is filled with ends. margherita/walk.py plays queue and council in simulated time (kill, power, wipe, cut, freeze, restart, core), tests/trail.py finds six planted mistakes with it.

--- a/sableford/leconte/view.py
+++ b/sableford/leconte/view.py
@@ -44,6 +44,20 @@
     return crc32(key.encode()) % SHARDS
 
 
+def ref_of(shard: int, name: str) -> str:
+    """A message's name in the system: whoever is asked for it knows at once whom to ask.
+
+    >>> ref_of(7, "9c41"), shard_in("07-9c41"), shard_in("x")
+    ('07-9c41', 7, None)
+    """
+    return f"{shard:02d}-{name}"
+
+
+def shard_in(ref: str) -> int | None:
+    head, dash, _ = ref.partition("-")
+    return int(head) if dash and head.isdigit() and len(head) == 2 and int(head) < SHARDS else None
+
+
 def shares(owners: list[str], huts: list[str]) -> list[str]:
     """Whose each shard should be: as now where that may stay, evenly, with the fewest moves.
 
--- a/sableford/margherita/hut.py
+++ b/sableford/margherita/hut.py
@@ -28,6 +28,7 @@
     Deliver,
     Drop,
     End,
+    Fill,
     Keep,
     Late,
     Message,
@@ -44,6 +45,7 @@
 TICK = 15.0  # ms between two looks at what is due
 TELL = 40.0  # ms between two words to other stores on what is in flight here
 ASK = 1200.0  # ms for another store's answer; a message that is only late then is asked for elsewhere meanwhile
+FILL, FILL_MS = 100, 40.0  # ends in one portion for a store that lost its folder, and ms between two
 SLOW = 500.0  # ms between looks that need not be often
 NODE = b"n"
 
@@ -77,6 +79,7 @@
             "copy": self._copy,
             "part": lambda link, head, raw: self._do(self.queue.part(life.now(), _clean(head), raw)),
             "end": self._end,
+            "ends": self._ends,
             "drop": self._drop,
             "pull": lambda link, head, raw: life.task(self._pull(link, head)),
             "settle": lambda link, head, raw: link.answer(head, {"ends": self.queue.settled_by(head["refs"])}),
@@ -233,12 +236,30 @@
 
     def _end(self, link: Link, head: dict, raw: bytes) -> None:
         ref, end = head["ref"], End.load(head["end"])
-        self.queue.end_told(self.life.now(), ref, end)
+        self._do(self.queue.end_told(self.life.now(), ref, end))
         future = self.disk.write(_end_puts(ref, end))
         future.add_done_callback(lambda done: link.answer(head, {"yes": done.exception() is None}))
 
+    def _ends(self, link: Link, head: dict, raw: bytes) -> None:
+        puts = []
+        for ref, given in head["ends"].items():
+            if ref not in self.queue.ends:
+                end = End.load(given)
+                self._do(self.queue.end_told(self.life.now(), ref, end))
+                puts += _end_puts(ref, end)
+        if puts:
+            self.disk.write(puts)
+
+    async def _fill(self, to: str, refs: list[str]) -> None:
+        """In portions, behind what is served."""
+        for at in range(0, len(refs), FILL):
+            ends = {ref: list(self.queue.ends[ref]) for ref in refs[at : at + FILL] if ref in self.queue.ends}
+            if (link := self.ways.link(to)) is not None:
+                link.send({"op": "ends", "ends": ends})
+            await asyncio.sleep(FILL_MS / 1000.0)
+
     def _drop(self, link: Link, head: dict, raw: bytes) -> None:
-        if self.queue.dropped(self.life.now(), head["ref"]):
+        if self.queue.dropped(self.life.now(), head["ref"], head["epoch"]):
             self.disk.write([(b"m" + head["ref"].encode(), None)])
 
     async def _pull(self, link: Link, head: dict) -> None:
@@ -302,9 +323,11 @@
                 case TellEnd(to, ref, _, end):
                     word = {"op": "end", "ref": ref, "end": list(end)}
                     self._ask(to, word, lambda got, to=to, ref=ref: self._end_told(ref, to, got))
-                case Drop(to, ref):
+                case Drop(to, ref, epoch):
                     if (link := self.ways.link(to)) is not None:
-                        link.send({"op": "drop", "ref": ref})
+                        link.send({"op": "drop", "ref": ref, "epoch": list(epoch)})
+                case Fill(to, refs):
+                    self.life.task(self._fill(to, refs))
                 case Pull(to, round, shards, have, parts):
                     word = {"op": "pull", "shards": shards, "have": have, "parts": parts}
                     self._ask(to, word, lambda got, to=to, round=round: self._pulled(to, round, got))
--- a/sableford/margherita/queue.py
+++ b/sableford/margherita/queue.py
@@ -20,7 +20,7 @@
 
 from sableford.altavia.routes import Route, Table
 from sableford.altavia.verdict import Ran, Verdict
-from sableford.leconte.view import Number, View
+from sableford.leconte.view import Number, View, shard_in
 from sableford.margherita.choice import Choice
 from sableford.margherita.words import (
     Copy,
@@ -28,6 +28,7 @@
     Drop,
     Effect,
     End,
+    Fill,
     Keep,
     Late,
     Message,
@@ -85,10 +86,11 @@
         self._ready: dict[str, list] = {}
         self._tardy: dict[str, list] = {}
         self._delayed: list = []
-        self._taking: set[str] = set()
-        self._ending: set[str] = set()
+        self._taking: dict[str, None] = {}  # in order: sets of names have none
+        self._ending: dict[str, None] = {}
         self._seeks: dict[str, tuple[set[str], float, list]] = {}
         self._seen_huts: dict[str, str] = {}
+        self._comparing: dict[str, dict[int, Number]] = {}
         self._compared: dict[str, tuple[str, set[int]]] = {}
         self._expiries: list = []
         self._rounds, self._order, self._turn = count(1), count(1), 0
@@ -123,7 +125,7 @@
         elif head.get("again") and self._others():
             asked, until, puts = self._seeks.setdefault(ref, (set(self._others()), now + SEEK, []))
             puts.append((head, body, waiter))
-            for name in asked:
+            for name in sorted(asked):
                 self._say(Seek(name, ref))
         else:
             self._take(now, head, body, waiter)
@@ -138,7 +140,7 @@
         message.state = State.TAKING
         message.waiters.append(waiter)
         self.held[message.ref] = message
-        self._taking.add(message.ref)
+        self._taking[message.ref] = None
         self._join_key(message)
         self._say(Keep("m", message.ref))
         self._copy(now, message)
@@ -196,8 +198,6 @@
         elif what == "e" and message.state is State.ENDING:
             message.end_held.add(self.me)
             self._check_end(now, message)
-        elif what == "e" and message.shard not in self.owned and message.shard not in self.collects:
-            self._forget(now, message)
         return self._done()
 
     def _untake(self, now: float, message: Message, word: dict) -> None:
@@ -223,7 +223,7 @@
     def _check(self, now: float, message: Message) -> None:
         if message.state is State.TAKING and self._safe(message) and self.holds(now):
             message.state = State.WAITING
-            self._taking.discard(message.ref)
+            self._taking.pop(message.ref, None)
             for waiter in message.waiters:
                 self._say(Reply(waiter, {"kept": True}))
             message.waiters = []
@@ -257,17 +257,25 @@
             if message.state is State.COPY:
                 message.body = None
 
-    def end_told(self, now: float, ref: str, end: End) -> None:
-        """The owner says how one has ended."""
-        self.ends[ref] = end
+    def end_told(self, now: float, ref: str, end: End) -> list[Effect]:
+        """Another store says how one has ended: its owner, or the owner before who had it out."""
+        self.ends.setdefault(ref, end)
         message = self.held.get(ref)
-        if message is not None and message.shard not in self.owned:
+        if message is None or message.state is State.ENDING:
+            return self._done()
+        if message.shard in self.owned:
+            self._end(now, message, end)
+        elif message.shard not in self.collects:
             self._forget(now, message)
+        return self._done()
 
-    def dropped(self, now: float, ref: str) -> bool:
+    def dropped(self, now: float, ref: str, epoch: Number) -> bool:
+        """Whether it is to go from the disk: its shard's owner knows nothing of it."""
         message = self.held.get(ref)
         if message is None or message.shard in self.owned or message.shard in self.collects:
             return False
+        if tuple(epoch) != self.view.epochs[message.shard] or message.state is State.ENDING:
+            return False
         self._forget(now, message)
         return True
 
@@ -297,11 +305,11 @@
         gone = {
             name
             for name, birth in self._seen_huts.items()
-            if name not in view.huts or view.huts[name].birth != birth
+            if name != self.me and (name not in view.huts or view.huts[name].birth != birth)
         }
         new = {name for name, hut in view.huts.items() if self._seen_huts.get(name) != hut.birth} - {self.me}
         self._seen_huts = {name: hut.birth for name, hut in view.huts.items()}
-        for name in gone:
+        for name in sorted(gone):
             self.choice.forget(name)
         for at in [at for at, epoch in self.owned.items() if mine.get(at) != epoch]:
             self._release(now, at)
@@ -317,15 +325,17 @@
             for at in fresh:
                 self.collects[at] = collect
         for message in self.held.values():
+            message.end_held -= gone
             if message.shard in self.owned:
                 message.held -= gone
-                message.end_held -= gone
                 if message.state is State.AWAY and message.away not in view.huts:
                     self._back(now, message, 0.0)
         for collect in self._rounds_open():
             self._ask(now, collect, gone)
-        for name in new & self._others():
+        for name in sorted(new & self._others()):
             self._compare(name)
+            if not view.huts[name].whole and self.ends:
+                self._say(Fill(name, sorted(self.ends)))
         for message in list(self.held.values()):
             if message.shard in self.owned and message.state is not State.ENDING and not self._safe(message):
                 self._copy(now, message)
@@ -364,10 +374,10 @@
             for waiter in message.waiters:
                 self._say(Reply(waiter, {"no": "owner"}))
             message.waiters = []
-            message.state = State.COPY
             message.away = ""
-            self._taking.discard(message.ref)
-            self._ending.discard(message.ref)
+            self._taking.pop(message.ref, None)
+            if message.state is not State.ENDING:  # its end is told on until enough have it
+                message.state = State.COPY
             self._keys.pop(message.key, None)
 
     def pulled(self, now: float, store: str, number: int, word: dict | None) -> list[Effect]:
@@ -474,23 +484,26 @@
     def _compare(self, name: str) -> None:
         shards = sorted(self.owned)
         if shards:
+            self._comparing[name] = {at: self.owned[at] for at in shards}
             self._say(Pull(name, 0, shards, [], False))
 
     def _compared_by(self, now: float, store: str, number: int, word: dict | None) -> list[Effect]:
         if number != 0 or word is None or store not in self.view.huts:
             return self._done()
-        refs = set(word["refs"])
-        for ref in refs:
+        # Of a shard that has changed hands since it was asked about, what is unknown here is the new owner's.
+        still = {at for at, epoch in self._comparing.pop(store, {}).items() if self.owned.get(at) == epoch}
+        for ref in sorted(word["refs"]):
+            if shard_in(ref) not in still:
+                continue
             if ref in self.ends:
-                message = self.held.get(ref)
-                self._say(TellEnd(store, ref, message.shard if message else 0, self.ends[ref]))
+                self._say(TellEnd(store, ref, shard_in(ref), self.ends[ref]))
             elif (message := self.held.get(ref)) is not None:
                 if message.shard in self.owned:
                     message.held.add(store)
                     self._check(now, message)
             else:
-                self._say(Drop(store, ref))
-        self._note_compared(store, set(word.get("shards", ())) & self.owned.keys())
+                self._say(Drop(store, ref, self.owned[shard_in(ref)]))
+        self._note_compared(store, still)
         return self._done()
 
     def _note_compared(self, store: str, shards: set[int]) -> None:
@@ -630,9 +643,7 @@
             self._late[ref] = verdict
             self.out[ref] = shard  # until the owner has been told
             if verdict.ran in (Ran.DONE, Ran.NEVER) and message is not None and ref not in self.ends:
-                # Known here for good, whoever asks; the owner keeps it too.
-                self.ends[ref] = message.end = self._end_of(verdict)
-                self._say(Keep("e", ref))
+                self._end(now, message, self._end_of(verdict))  # known here for good, whoever asks
             self._send_late(now)
         self._pump(now)
         return self._done()
@@ -654,13 +665,13 @@
 
     def busy(self) -> bool:
         """Whether anything begun here has not ended, or its end is not known to the owner."""
-        return bool(self.owned or self.collects or self.out)
+        return bool(self.owned or self.collects or self.out or self._ending)
 
     def late(self, now: float, sender: str, ref: str, shard: int, verdict: Verdict) -> list[Effect]:
         """How a delivery of the owner before has ended."""
         message = self.held.get(ref)
         if ref in self.ends:
-            return self._done()
+            return self.end_told(now, ref, self.ends[ref])
         if (collect := self.collects.get(shard)) is not None:
             collect.over.add((sender, ref))
             if verdict.ran in (Ran.DONE, Ran.NEVER):
@@ -706,8 +717,8 @@
     def _end(self, now: float, message: Message, end: End) -> None:
         message.state, message.end = State.ENDING, end
         self.ends[message.ref] = end
-        self._taking.discard(message.ref)
-        self._ending.add(message.ref)
+        self._taking.pop(message.ref, None)
+        self._ending[message.ref] = None
         message.end_held = set()
         self._say(Keep("e", message.ref))
         self._spread_end(now, message)
@@ -739,8 +750,8 @@
 
     def _forget(self, now: float, message: Message) -> None:
         self.held.pop(message.ref, None)
-        self._taking.discard(message.ref)
-        self._ending.discard(message.ref)
+        self._taking.pop(message.ref, None)
+        self._ending.pop(message.ref, None)
         if message.key and (line := self._keys.get(message.key)) is not None:
             pair = (message.place, message.ref)
             first = bool(line) and line[0] == pair
--- a/sableford/margherita/words.py
+++ b/sableford/margherita/words.py
@@ -95,10 +95,18 @@
 
 
 class Drop(NamedTuple):
-    """Another store may drop a message that its owner knows nothing of."""
+    """Another store may drop a message that its owner, since `epoch`, knows nothing of."""
 
     to: str
     ref: str
+    epoch: Number
+
+
+class Fill(NamedTuple):
+    """A store whose folder was lost is to have these ends again."""
+
+    to: str
+    refs: list[str]
 
 
 class Reply(NamedTuple):
@@ -151,4 +159,4 @@
     facts: dict
 
 
-Effect = Keep | Copy | TellEnd | Drop | Reply | Deliver | Pull | Settle | Seek | Late | Said
+Effect = Keep | Copy | TellEnd | Drop | Fill | Reply | Deliver | Pull | Settle | Seek | Late | Said
--- a/sableford/sapienza/gate.py
+++ b/sableford/sapienza/gate.py
@@ -12,7 +12,7 @@
 from sableford.altavia.http import Answer, Bounds, Door, Request
 from sableford.altavia.links import Broken, Link
 from sableford.altavia.routes import Route, Table
-from sableford.leconte.view import SHARDS, View, shard_of
+from sableford.leconte.view import SHARDS, View, ref_of, shard_in, shard_of
 from sableford.trailhead.life import Life
 from sableford.trailhead.settings import address
 
@@ -207,7 +207,7 @@
 
     async def _of_owner(self, word: dict, ref: str, knows: Any) -> tuple[dict, bytes] | None:
         """The owner's answer; where it knows nothing, that of any store that does."""
-        shard, until = _shard_in(ref), self.life.now() + STATUS_MS
+        shard, until = shard_in(ref), self.life.now() + STATUS_MS
         if shard is None:
             return ({"state": None}, b"")
         while self.life.now() < until:
@@ -239,17 +239,7 @@
 
 
 def _ref(shard: int, id: str) -> str:
-    """A message's name: it says whom to ask.
-
-    >>> _ref(7, "9c41"), _shard_in("07-9c41"), _shard_in("x")
-    ('07-9c41', 7, None)
-    """
-    return f"{shard:02d}-{id if NAME.fullmatch(id) else sha1(id.encode()).hexdigest()}"
-
-
-def _shard_in(ref: str) -> int | None:
-    head, dash, _ = ref.partition("-")
-    return int(head) if dash and head.isdigit() and len(head) == 2 and int(head) < SHARDS else None
+    return ref_of(shard, id if NAME.fullmatch(id) else sha1(id.encode()).hexdigest())
 
 
 def _refusal(why: str) -> Answer:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -23,6 +23,7 @@
     members,
     record,
     rig,
+    trail,
     upgrade,
 )
 from tests.helper import play, play_sockets, scenarios
@@ -58,6 +59,7 @@
         members,
         record,
         rig,
+        trail,
         upgrade,
     ):
         for name, check in list(vars(module).items()):
--- /dev/null
+++ b/tests/trail.py
@@ -0,0 +1,353 @@
+"""Plain asserts on the system: walks in simulated time with planted mistakes, orders to the core, the doors on bytes,
+verdicts, the folder of a store. Nothing here sleeps, opens a port or needs the bench."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+import orjson
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from sableford.altavia.frames import Frames, frame
+from sableford.altavia.http import Answer, Bounds, Door, Reply, Visit
+from sableford.altavia.verdict import Ran
+from sableford.fleet.record.core import Add, Cut, Meta, Whole
+from sableford.fleet.record.words import Entry
+from sableford.leconte import book
+from sableford.leconte.folder import Folder
+from sableford.leconte.view import SHARDS, shares
+from sableford.margherita.courier import judge
+from sableford.margherita.disk import Disk
+from sableford.margherita.queue import Queue
+from sableford.margherita.walk import Walk, Wrong
+from sableford.trailhead.cli import main
+from sableford.trailhead.settings import SettingsError, parse
+
+# Walks and planted mistakes
+
+
+def shows_walks_with_kills_power_wipes_cuts_freezes_and_restarts_break_no_rule() -> None:
+    moves = accepted = 0
+    for seed in range(36):
+        walk = Walk(seed).play()
+        moves, accepted = moves + walk.moves, accepted + len(walk.accepted)
+    assert moves > 500 and accepted > 10_000, (moves, accepted)
+
+
+class Alone(Queue):
+    """Says kept once the own disk has it."""
+
+    def _safe(self, message):
+        return message.synced
+
+    def _copy(self, now, message): ...
+
+
+class Timeless(Queue):
+    """Acts on a lease that has run out."""
+
+    def holds(self, now):
+        return True
+
+
+class Jumpy(Queue):
+    """Sends whatever is due, whose turn it is or not."""
+
+    def _first(self, message):
+        return True
+
+
+class Forgetful(Queue):
+    """Serves a shard before those who may know of its messages have told."""
+
+    def _gather(self, now, collect):
+        if collect.settling is None and collect.shards:
+            collect.settling = set()
+            self._open(now, collect)
+
+
+class Careless(Queue):
+    """Does not tell the new owner what was still out."""
+
+    def pulled_by(self, now, shards, have, parts):
+        word, messages = super().pulled_by(now, shards, have, parts)
+        return word | {"out": []}, messages
+
+
+class Deaf(Queue):
+    """Forgets an end that it alone knows once the shard is another's."""
+
+    def _send_late(self, now):
+        for ref in list(self._late):
+            self.told_late(ref)
+
+    def settled_by(self, refs):
+        return {}
+
+
+def found(make: type[Queue], kinds: tuple[str, ...], seeds: int = 60) -> str:
+    for seed in range(seeds):
+        try:
+            Walk(seed, 6, kinds, make=make).play()
+        except Wrong as wrong:
+            return str(wrong).split(" in walk")[0].split()[0]
+    return ""
+
+
+def shows_each_planted_mistake_of_a_store_is_found() -> None:
+    for make, kinds, rules in (
+        (Alone, ("wipe",), {"LOST"}),
+        (Timeless, ("freeze", "cut"), {"FENCE", "ORDER", "TWICE"}),
+        (Jumpy, ("kill",), {"ORDER"}),
+        (Forgetful, ("power", "kill"), {"LOST", "ORDER", "TWICE", "NEVER"}),
+        (Careless, ("term",), {"TWICE", "ORDER"}),
+        (Deaf, ("term", "kill"), {"TWICE", "ORDER"}),
+    ):
+        assert found(make, kinds) in rules, make.__name__
+
+
+# The operator's word
+
+
+def config(revision: int, backend: str = "b") -> dict:
+    route = {"name": "r", "hostname": "h", "pathPrefix": "/", "backend": backend, "deadlineMs": 1000}
+    return {"revision": revision, "routes": [route], "backends": [{"name": "b"}]}
+
+
+class Orders(RuleBasedStateMachine):
+    """Two operators who race, repeat themselves and err: one version after the other, none of them twice."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state, self.acked = book.State(), []
+        self.past: list[tuple[str, bytes]] = []
+
+    def _order(self, base: str, body: bytes) -> int:
+        made = book.order(self.state, "replace", base, body)
+        if isinstance(made, book.Put):
+            self.state = book.State.load(made.state.dump())
+            self.acked.append((base, self.state.revision))
+            self.past.append((base, body))
+            return 200
+        return made.status
+
+    @rule(step=st.integers(1, 5), back=st.integers(0, 2))
+    def sends(self, step, back):
+        base = max(0, self.state.revision - back)
+        fresh = self._order(str(base), orjson.dumps(config(self.state.revision + step)))
+        assert fresh == (200 if base == self.state.revision - 0 or self.state.revision == self.acked[-1][1] else 412) or (
+            fresh == 412 and back
+        )
+
+    @rule()
+    def repeats(self):
+        if self.past:
+            before = self.state
+            assert self._order(*self.past[-1]) == 200 and self.state == before
+
+    @rule(
+        body=st.sampled_from(
+            [b"{", b"[]", b"null", orjson.dumps(config(10**6, "none")), orjson.dumps(config(0)), b"{}"]
+        )
+    )
+    def errs(self, body):
+        before = self.state
+        assert self._order(str(self.state.revision), body) == 400 and self.state == before
+
+    @invariant()
+    def rises(self):
+        bases = [base for base, _ in self.acked]
+        assert len(set(bases)) == len(bases), "two changes on one version"
+        revisions = [revision for _, revision in self.acked]
+        assert revisions == sorted(set(revisions))
+
+
+def shows_orders_of_two_operators_leave_one_line_of_versions() -> None:
+    steps = settings(
+        max_examples=40, derandomize=True, deadline=None, database=None, suppress_health_check=list(HealthCheck)
+    )
+    run_state_machine_as_test(Orders, settings=steps)
+
+
+def shows_each_bad_configuration_is_named_by_its_field() -> None:
+    good = config(1)
+    cases = {
+        "routes.0.backend": {**good, "backends": [{"name": "c"}]},
+        "routes.0.deadlineMs": {**good, "routes": [{**good["routes"][0], "deadlineMs": 0}]},
+        "routes.1": {**good, "routes": [good["routes"][0], {**good["routes"][0], "name": "s"}]},
+        "revision": {**good, "revision": "1"},
+        "backends: two": {**good, "backends": [{"name": "b"}, {"name": "b"}]},
+    }
+    for place, doc in cases.items():
+        try:
+            book.check(doc)
+        except book.Invalid as problem:
+            assert str(problem).startswith(place), problem
+        else:
+            raise AssertionError(place)
+    assert book.check(good).revision == 1
+
+
+def shows_shards_move_no_more_than_they_must() -> None:
+    huts = [f"s{at}" for at in range(5)]
+    owners = shares([""] * SHARDS, huts)
+    assert {owners.count(hut) for hut in huts} == {SHARDS // 5}
+    fewer = shares(owners, huts[1:])
+    assert all(was == now for was, now in zip(owners, fewer, strict=True) if was != "s0")
+    again = shares(fewer, huts)
+    assert sum(was != now for was, now in zip(fewer, again, strict=True)) == SHARDS // 5
+
+
+# The doors
+
+
+class Pipe:
+    """A transport that remembers."""
+
+    def __init__(self) -> None:
+        self.out, self.closed = b"", False
+
+    def write(self, data):
+        self.out += data
+
+    def close(self):
+        self.closed = True
+
+    def is_closing(self):
+        return self.closed
+
+    def pause_reading(self): ...
+
+    def resume_reading(self): ...
+
+
+def visited(parts: list[bytes], handle=lambda request: Answer(200, request.body, kind="text/plain")) -> tuple[bytes, bool]:
+    async def visit() -> tuple[bytes, bool]:
+        bounds = Bounds()
+        bounds.head, bounds.body = 400, 50
+        one, pipe = Visit(Door(handle, bounds)), Pipe()
+        one.connection_made(pipe)
+        for part in parts:
+            one.data_received(part)
+        return pipe.out, pipe.closed
+
+    return asyncio.run(visit())
+
+
+POST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz"
+CHUNKS = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n"
+
+
+def shows_requests_are_read_whole_however_they_are_cut() -> None:
+    for text in (POST, CHUNKS):
+        for at in range(len(text)):
+            out, closed = visited([text[:at], text[at:]])
+            assert out.startswith(b"HTTP/1.1 200") and out.endswith(b"xyz") and not closed, at
+    out, _ = visited([POST + CHUNKS])
+    assert out.count(b"HTTP/1.1 200") == 2
+
+
+def shows_what_is_too_large_or_smuggled_never_reaches_the_handler() -> None:
+    reached = []
+
+    def handle(request):
+        reached.append(request)
+        return Answer(200)
+
+    both = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    twice = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nxyz"
+    large = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n"
+    long = b"POST /a HTTP/1.1\r\nHost: h\r\nX: " + b"y" * 500 + b"\r\n\r\n"
+    for text, status in ((both, 400), (twice, 400), (large, 413), (long, 431), (b"\x00\x01\r\n\r\n", 400)):
+        out, closed = visited([text], handle)
+        assert out.startswith(b"HTTP/1.1 %d" % status) and closed and not reached, (text, out)
+
+
+def shows_a_worker_s_answer_counts_by_what_it_proves() -> None:
+    def verdict(status: int, **head: bytes) -> Ran:
+        given = {name.replace("_", "-").encode(): value for name, value in head.items()}
+        return judge(Reply(status, {b"attempt-id": b"7"} | given, b""), "7").ran
+
+    assert verdict(200, server_seal=b"s") is Ran.DONE
+    assert verdict(200) is Ran.MAYBE
+    assert verdict(200, server_seal=b"s", attempt_id=b"8") is Ran.MAYBE
+    assert verdict(500) is Ran.FAILED and verdict(422) is Ran.NEVER
+    assert verdict(503) is Ran.MAYBE and verdict(503, not_run=b"full") is Ran.NOT_RUN
+    assert verdict(421) is Ran.NOT_RUN and verdict(504) is Ran.MAYBE
+
+
+def shows_frames_come_whole_however_they_are_cut() -> None:
+    text = frame({"op": "put"}, b"1:x,") + frame({"op": "ping"})
+    for at in range(len(text)):
+        reader = Frames()
+        got = reader.feed(text[:at]) + reader.feed(text[at:])
+        assert [head["op"] for head, _ in got] == ["put", "ping"] and got[0][1] == b"1:x,", at
+
+
+# What lies on disk
+
+
+def shows_the_record_is_read_back_as_it_was_kept() -> None:
+    folder = Folder([])
+    found = dict(folder.begin())
+
+    def keep(*deeds):
+        for key, value in folder.puts(deeds):
+            found.pop(key, None) if value is None else found.update({key: value})
+
+    entries = [Entry(1, 1, "a", at, b"x") for at in range(4)]
+    keep(Meta(1, "v"), *(Add(at, one) for at, one in enumerate(entries, 1)))
+    keep(Cut(2), Add(3, entries[3]))
+    held = Folder(found.items()).held
+    assert (held.term, held.vote, held.first) == (1, "v", 1)
+    assert held.entries == (entries[0], entries[1], entries[3])
+    keep(Whole("id", Meta(2, ""), None, 3, 1, (entries[2],)))
+    held = Folder(found.items()).held
+    assert (held.id, held.first, held.entries) == ("id", 3, (entries[2],))
+
+
+def shows_a_folder_that_is_damaged_counts_as_a_lost_disk() -> None:
+    with tempfile.TemporaryDirectory() as place:
+
+        async def keep() -> None:
+            disk = Disk(Path(place), 16)
+            disk.open()
+            assert not disk.lost
+            await disk.write([(b"m1", b"one" * 500), (b"e1", b"end")])
+            assert await disk.read(b"m1") == b"one" * 500
+            disk.close()
+
+        asyncio.run(keep())
+        again = Disk(Path(place), 16)
+        again.open()
+        assert dict(again.load(b"e")) == {b"e1": b"end"} and not again.lost
+        again.close()
+        file = Path(place) / "data.mdb"
+        file.write_bytes(file.read_bytes().replace(b"oneone", b"onyone"))
+        spoilt = Disk(Path(place), 16)
+        spoilt.open()
+        assert spoilt.lost and not list(spoilt.load(b""))
+        assert (Path(place) / "data.mdb.damaged").exists()
+
+
+# Settings and the command line
+
+
+def shows_bad_settings_are_named_and_end_with_two() -> None:
+    good = "nodeName: a\nbindIp: 10.0.0.1\nzone: z\nportRange: [7300, 7301]\nnewField: 3\n"
+    assert parse(good, "s").port_range == (7300, 7301)
+    for text, word in ((good + "seedNodes: [x]\n", "'x'"), (good.replace("a\n", "[1]\n", 1), "nodeName"), ("{", "YAML")):
+        try:
+            parse(text, "s.yaml")
+        except SettingsError as problem:
+            assert str(problem).startswith("s.yaml: ") and word in str(problem), problem
+        else:
+            raise AssertionError(text)
+    with tempfile.TemporaryDirectory() as place:
+        file = Path(place) / "s.yaml"
+        file.write_text(good)
+        assert main(["sapienza", "--settings", str(file)]) == 2  # no address for clients
+        assert main(["margherita", "--settings", str(Path(place) / "none")]) == 2
+        assert main(["check", str(file)]) == 0
