--- a/sableford/altavia/calls.py
+++ b/sableford/altavia/calls.py
@@ -1,10 +1,11 @@
 """Which call is meant: a tree of matchers over method and path.
 
-    >>> tree = Tree({"v1": {"config": {"read": {"GET": "read"}}, "instances": {ANY: {"leave": {"POST": "leave"}}}}})
-    >>> tree.find("POST", "/v1/instances/i-7/leave")
-    ('leave', ['i-7'])
-    >>> tree.find("GET", "/v1/instances/i-7/leave"), tree.find("GET", "/v2")
-    ((405, []), (404, []))
+>>> leave = {ANY: {"leave": {"POST": "leave"}}}
+>>> tree = Tree({"v1": {"config": {"read": {"GET": "read"}}, "instances": leave}})
+>>> tree.find("POST", "/v1/instances/i-7/leave")
+('leave', ['i-7'])
+>>> tree.find("GET", "/v1/instances/i-7/leave"), tree.find("GET", "/v2")
+((405, []), (404, []))
 """
 
 from typing import Any
--- a/sableford/altavia/http.py
+++ b/sableford/altavia/http.py
@@ -345,7 +345,9 @@
     def usable(self) -> bool:
         """Whether it may carry one more: not where its worker may be closing it at this moment."""
         rest = self._loop.time() - self.idle_since
-        return not self.closed and not self.transport.is_closing() and rest < max(0.2, self.idle_s * 0.8 - 0.3)
+        return (
+            not self.closed and not self.transport.is_closing() and rest < max(0.2, self.idle_s * 0.8 - 0.3)
+        )
 
     def drop(self) -> None:
         self.closed = True
--- a/sableford/altavia/links.py
+++ b/sableford/altavia/links.py
@@ -1,8 +1,8 @@
 """Held connections between the system's own processes.
 
-`Link` is one connection, whoever dialled it; `Ways` keeps one to each process that is to be reached. A process
-knows by its steady clock how long each has been silent. A refused dial proves that the process which had that
-port is over, since each holds its port as long as it lives; silence proves nothing.
+`Link` is one connection, whoever dialled it; `Ways` keeps one to each process that is to be reached. A
+process knows by its steady clock how long each has been silent. A refused dial proves that the process
+which had that port is over, since each holds its port as long as it lives; silence proves nothing.
 """
 
 import asyncio
@@ -185,7 +185,9 @@
         link: Link | None = None
         try:
             async with asyncio.timeout(DEAD_MS / 1000.0):
-                _, link = await self._loop.create_connection(lambda: Link(self._heard, self._ended), *way.address)
+                _, link = await self._loop.create_connection(
+                    lambda: Link(self._heard, self._ended), *way.address
+                )
                 head, _ = await link.ask(self.hello)
                 link.peer, link.birth = name, head["birth"]
                 way.link, way.pause = link, REDIAL_MS
--- a/sableford/altavia/routes.py
+++ b/sableford/altavia/routes.py
@@ -62,8 +62,9 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """
-        >>> table = Table(1, {"routes": [{"name": n, "hostname": "H", "pathPrefix": p, "backend": "b", "deadlineMs": 1}
-        ...     for n, p in (("a", "/"), ("b", "/x/"))]})
+        >>> rest = {"hostname": "H", "backend": "b", "deadlineMs": 1}
+        >>> table = Table(1, {"routes": [rest | {"name": "a", "pathPrefix": "/"},
+        ...     rest | {"name": "b", "pathPrefix": "/x/"}]})
         >>> table.find("h:80", "/x/1").name, table.find("h", "/x").name, table.find("i", "/x")
         ('b', 'a', None)
         """
--- a/sableford/leconte/book.py
+++ b/sableford/leconte/book.py
@@ -1,11 +1,11 @@
 """The operator's word: what a configuration must be, and what an order does to the one in force. No I/O.
 
-    order                                     state                       answer
-    unreadable, or invalid in itself          any                         400
-    the same as one that was taken            any                         200
-    on another version than the current       -                           412
-    revision not above the current            -                           400
-    else                                      Put, then it is in force    200 once agreed
+order                                     state                       answer
+unreadable, or invalid in itself          any                         400
+the same as one that was taken            any                         200
+on another version than the current       -                           412
+revision not above the current            -                           400
+else                                      Put, then it is in force    200 once agreed
 """
 
 import copy
@@ -134,8 +134,8 @@
 def amended(doc: dict, change: dict) -> dict:
     """The configuration that an amendment makes. Raises Invalid.
 
-    >>> amended({"revision": 1, "routes": [{"name": "a"}, {"name": "b"}]},
-    ...     {"revision": 2, "upsert": {"routes": [{"name": "b", "x": 1}, {"name": "c"}]}, "remove": {"routes": ["a"]}})
+    >>> amended({"revision": 1, "routes": [{"name": "a"}, {"name": "b"}]}, {"revision": 2,
+    ...     "upsert": {"routes": [{"name": "b", "x": 1}, {"name": "c"}]}, "remove": {"routes": ["a"]}})
     {'revision': 2, 'routes': [{'name': 'b', 'x': 1}, {'name': 'c'}]}
     """
     new = copy.deepcopy(doc)
@@ -172,12 +172,16 @@
             raise Invalid("an object is wanted")
         if base is None or not base.strip().isdigit():
             raise Invalid("Base-Version: a number is wanted")
-        digest = sha256(b"%b %d " % (kind.encode(), int(base)) + orjson.dumps(given, option=orjson.OPT_SORT_KEYS))
+        digest = sha256(
+            b"%b %d " % (kind.encode(), int(base)) + orjson.dumps(given, option=orjson.OPT_SORT_KEYS)
+        )
         mark = digest.hexdigest()[:32]
         if (known := dict(state.taken).get(mark)) is not None:
             return Reply(200, {"revision": known})
         if int(base) != state.revision:
-            return Reply(412, {"reason": f"revision {state.revision} is in force", "revision": state.revision})
+            return Reply(
+                412, {"reason": f"revision {state.revision} is in force", "revision": state.revision}
+            )
         if kind == "amend":
             if state.doc is None:
                 raise Invalid("there is nothing to amend")
--- a/sableford/leconte/council.py
+++ b/sableford/leconte/council.py
@@ -1,14 +1,14 @@
 """The leader's soft state: members under leases, whose each shard is, and the workers. No I/O.
 
-Nothing of it is logged: who takes the lead gathers it anew from those who join, and moves nothing before each store
-has joined, is proven to be over, or could hold a lease of an earlier leader no longer.
-
-    input                       next state                                   effects
-    joined, renewed             the member's lease runs from now             snapshot; Register a new store
-    expired, over (proof)       no member; its shards are nobody's           news of a view
-    acked                       what it has applied                          Done for who waited; the next view
-    beat, left, silent          the worker's line                            news; Done once all stores have it
-    configured                  the operator's word in force                 news; Done once all members have it
+Nothing of it is logged: who takes the lead gathers it anew from those who join, and moves nothing before
+each store has joined, is proven to be over, or could hold a lease of an earlier leader no longer.
+
+    input                   next state                           effects
+    joined, renewed         the member's lease runs from now     snapshot; Register a new store
+    expired, over (proof)   no member; its shards are nobody's   news of a view
+    acked                   what it has applied                  Done for who waited; the next view
+    beat, left, silent      the worker's line                    news; Done once all stores have it
+    configured              the operator's word in force         news; Done once all members have it
 """
 
 from collections.abc import Iterable
@@ -109,7 +109,9 @@
         self.config: dict | None = None
         self.number = 0  # of the last news
         self._view_news = 0  # the news that told the current view
-        self._holders: dict[int, tuple[str, int]] = {}  # shard: who must acknowledge which news before it is given
+        self._holders: dict[
+            int, tuple[str, int]
+        ] = {}  # shard: who must acknowledge which news before it is given
         self._warm = False
         self._since = 0.0
         self._over: set[str] = set()  # stores proven to be over since this lead began
@@ -270,7 +272,9 @@
         for name, member in self.members.items():
             if member.role in roles:
                 out.append(
-                    News(name, word | {"op": "news", "term": self.term, "n": self.number, "prev": member.sent})
+                    News(
+                        name, word | {"op": "news", "term": self.term, "n": self.number, "prev": member.sent}
+                    )
                 )
                 member.sent = self.number
         return out
@@ -282,7 +286,10 @@
         self.config = config
         if not self.leads:
             return []
-        return [*self._tell({"config": config}), Said("config_told", {"revision": config["revision"], "n": self.number})]
+        return [
+            *self._tell({"config": config}),
+            Said("config_told", {"revision": config["revision"], "n": self.number}),
+        ]
 
     # Whose each shard is
 
@@ -347,7 +354,8 @@
         return any(one.acked < number for one in stores.values())
 
     def _is_whole(self, name: str) -> bool:
-        """A store whose folder was lost counts once every owner has compared it and has its own messages safe."""
+        """A store whose folder was lost counts once every owner has compared it and has its own messages
+        safe."""
         member = self.members[name]
         if member.whole:
             return True
@@ -394,7 +402,9 @@
         if known is not None and msgspec.structs.replace(known, cold_ms=worker.cold_ms) == worker:
             return 0, out
         out += self._tell({"worker": msgspec.to_builtins(worker)}, ("store",))
-        out.append(Said("worker", {"worker": id, "phase": worker.phase, "backend": worker.backend, "n": self.number}))
+        out.append(
+            Said("worker", {"worker": id, "phase": worker.phase, "backend": worker.backend, "n": self.number})
+        )
         return self.number, out
 
     def left(self, now: float, id: str) -> tuple[int, list[Effect]]:
@@ -410,5 +420,3 @@
         self._counts.pop(id, None)
         out = self._tell({"gone": id}, ("store",))
         return [*out, Said("worker_gone", {"worker": id, "why": why, "n": self.number})]
-
-
--- a/sableford/leconte/folder.py
+++ b/sableford/leconte/folder.py
@@ -45,7 +45,9 @@
         while (entry := entries.get(meta.first + len(kept))) is not None:
             kept.append(entry)
         self._last = meta.first + len(kept) - 1
-        self.held = Held(meta.id, meta.term, meta.vote, image, meta.first, meta.before, tuple(kept), meta.lost)
+        self.held = Held(
+            meta.id, meta.term, meta.vote, image, meta.first, meta.before, tuple(kept), meta.lost
+        )
 
     def begin(self) -> list[tuple[bytes, bytes | None]]:
         """What a new folder begins with."""
@@ -69,6 +71,8 @@
                     self._meta = _Meta(id, meta.term, meta.vote, first, before, lost)
                     out.append((META, msgspec.msgpack.encode(self._meta)))
                     out.append((IMAGE, None if image is None else msgspec.msgpack.encode(image)))
-                    out += [(_entry_key(at), msgspec.msgpack.encode(one)) for at, one in enumerate(entries, first)]
+                    out += [
+                        (_entry_key(at), msgspec.msgpack.encode(one)) for at, one in enumerate(entries, first)
+                    ]
                     self._last = first + len(entries) - 1
         return out
--- a/sableford/leconte/lodge.py
+++ b/sableford/leconte/lodge.py
@@ -1,7 +1,7 @@
 """The core's actor at one machine with a disk: its side of the record, and, while it leads, the council.
 
-It owns the record, the council, the lines of members, and the calls of workers and the operator. What it can't settle
-it passes on to the leader.
+It owns the record, the council, the lines of members, and the calls of workers and the operator. What it
+can't settle it passes on to the leader.
 """
 
 import asyncio
@@ -35,7 +35,14 @@
     """`start` once the disk is open."""
 
     def __init__(
-        self, me: str, voters: list[str], ways: Ways, disk: Disk, heartbeat_ms: float, log: Any, member: Member
+        self,
+        me: str,
+        voters: list[str],
+        ways: Ways,
+        disk: Disk,
+        heartbeat_ms: float,
+        log: Any,
+        member: Member,
     ) -> None:
         self.me, self.ways, self._disk, self._log, self._member = me, ways, disk, log, member
         self._loop = asyncio.get_running_loop()
@@ -99,7 +106,11 @@
     def _watch(self, now: float) -> None:
         """Whether this process leads, with all that was agreed before in force here."""
         record = self._record
-        leads = record.leads and record.term_at(record.commit) == record.term and record.machine.last >= record.commit
+        leads = (
+            record.leads
+            and record.term_at(record.commit) == record.term
+            and record.machine.last >= record.commit
+        )
         if leads and (not self._led or self.council.term != record.term):
             self._led = True
             self._take_state()
@@ -328,7 +339,9 @@
             return Answer(504, b'{"reason":"not known whether it is in force"}')
         if not answer[0]:
             self._log.say("order", kind=kind, status=412, why=answer[2])
-            return Answer(412, orjson.dumps({"reason": "another version came first", "revision": self.state.revision}))
+            return Answer(
+                412, orjson.dumps({"reason": "another version came first", "revision": self.state.revision})
+            )
         self._log.say("order", kind=kind, status=200, revision=decided.state.revision, entry=answer[1])
         if self.leads:
             await self._applied(self.council.number, ("edge", "store"))
--- a/sableford/leconte/member.py
+++ b/sableford/leconte/member.py
@@ -1,7 +1,8 @@
-"""A member's side: it finds the leader, holds a lease there by renewing it, and applies the news pushed down its line.
+"""A member's side: it finds the leader, holds a lease there by renewing it, and applies the news pushed
+down its line.
 
-Who is behind gets a snapshot, then changes; a gap between two pieces of news means joining anew. Within one life
-neither a view nor a configuration goes back.
+Who is behind gets a snapshot, then changes; a gap between two pieces of news means joining anew. Within one
+life neither a view nor a configuration goes back.
 """
 
 import asyncio
@@ -19,10 +20,12 @@
 
 
 class Member:
-    """`on_view(view)`, `on_config(config)`, `on_workers()` and `on_lease(until)` are called as news come; lists of
-    stores to reach come from views and from the seeds."""
+    """`on_view(view)`, `on_config(config)`, `on_workers()` and `on_lease(until)` are called as news come;
+    lists of stores to reach come from views and from the seeds."""
 
-    def __init__(self, ways: Ways, me: str, about: Callable[[], dict], seeds: Callable[[], list[str]], log: Any) -> None:
+    def __init__(
+        self, ways: Ways, me: str, about: Callable[[], dict], seeds: Callable[[], list[str]], log: Any
+    ) -> None:
         self.ways, self.me, self._about, self._seeds, self._log = ways, me, about, seeds, log
         self.view = View()
         self.config: dict | None = None
@@ -53,7 +56,9 @@
             await self._stay()
 
     def _want(self) -> None:
-        self.ways.want(set(self._seeds()) | set(self.view.roster) | set(self.view.huts) | {self.leader} - {""})
+        self.ways.want(
+            set(self._seeds()) | set(self.view.roster) | set(self.view.huts) | {self.leader} - {""}
+        )
 
     async def _find(self) -> None:
         while True:
@@ -83,7 +88,9 @@
         while True:
             await asyncio.sleep(RENEW / 1000.0)
             sent = self.now()
-            word = await self._asked(self._line, self._about() | {"op": "renew", "n": self.number, "term": self.term})
+            word = await self._asked(
+                self._line, self._about() | {"op": "renew", "n": self.number, "term": self.term}
+            )
             if word is None or not word.get("ok"):
                 self._hint = (word or {}).get("leader") or self._hint
                 self._log.say("left_leader", leader=self.leader, answered=word is not None)
@@ -94,9 +101,9 @@
     def renew_now(self) -> None:
         """Something of what this process says of itself has changed."""
         if self._line is not None and not self._line.closed:
-            self._line.ask(self._about() | {"op": "renew", "n": self.number, "term": self.term}).add_done_callback(
-                lambda future: future.exception()
-            )
+            self._line.ask(
+                self._about() | {"op": "renew", "n": self.number, "term": self.term}
+            ).add_done_callback(lambda future: future.exception())
 
     def _extend(self, sent: float) -> None:
         self.lease = max(self.lease, sent + LEASE)
@@ -124,11 +131,11 @@
             link.drop()  # joined anew, it gets a snapshot
             return
         self.term, self.number = term, number
-        if (config := word.get("config")) is not None:
-            if self.config is None or config["revision"] > self.config["revision"]:
-                self.config = config
-                for tell in self.on_config:
-                    tell(config)
+        config = word.get("config")
+        if config is not None and (self.config is None or config["revision"] > self.config["revision"]):
+            self.config = config
+            for tell in self.on_config:
+                tell(config)
         if (view := word.get("view")) is not None:
             new = msgspec.convert(view, View)
             if new.number > self.view.number:
--- a/sableford/leconte/view.py
+++ b/sableford/leconte/view.py
@@ -1,7 +1,7 @@
 """A view: who the members are and whose each shard is, under one number that only rises.
 
-Duties are cut by key: a message's shard is its key's. A shard has one owner at a time; it changes hands by way of a
-view in which it is nobody's, which the old owner has acknowledged or outlived its lease under.
+Duties are cut by key: a message's shard is its key's. A shard has one owner at a time; it changes hands by
+way of a view in which it is nobody's, which the old owner has acknowledged or outlived its lease under.
 """
 
 from zlib import crc32
@@ -69,7 +69,7 @@
     has: dict[str, list[int]] = {name: [] for name in huts}
     free: list[int] = []
     for at, owner in enumerate(owners):
-        (has[owner] if owner in has else free).append(at)
+        has.get(owner, free).append(at)
     least, more = divmod(len(owners), len(huts))
     # Who has most keeps the larger parts, so that nothing moves for the remainder's sake.
     ranked = sorted(huts, key=lambda name: (-len(has[name]), name))
--- a/sableford/margherita/choice.py
+++ b/sableford/margherita/choice.py
@@ -1,8 +1,9 @@
 """Which worker takes the next delivery: the design's decision, as one store makes it. No I/O.
 
-A worker's estimate is its reported figure (what the other stores last said to have in flight there) plus own sends
-less own completions. The rotation and the local bound are the module's (`sableford.policy.bound`); what is asked
-for anew are copies that break it. Departures, each with its condition, stand in `docs/design.md`.
+A worker's estimate is its reported figure (what the other stores last said to have in flight there) plus
+own sends less own completions. The rotation and the local bound are the module's
+(`sableford.policy.bound`); what is asked for anew are copies that break it. Departures, each with its
+condition, stand in `docs/design.md`.
 """
 
 from typing import NamedTuple
@@ -29,7 +30,17 @@
 
 
 class Worker:
-    __slots__ = ("asked_at", "cold_until", "doubt_until", "failures", "heard_at", "line", "own", "theirs", "told")
+    __slots__ = (
+        "asked_at",
+        "cold_until",
+        "doubt_until",
+        "failures",
+        "heard_at",
+        "line",
+        "own",
+        "theirs",
+        "told",
+    )
 
     def __init__(self, line: Line, now: float) -> None:
         self.line, self.own, self.theirs = line, 0, 0
@@ -150,7 +161,8 @@
         self.changed.add(worker.line.id)
 
     def finished(self, now: float, worker: Worker, answered: bool, gone: bool) -> None:
-        """A delivery there is over: whether the worker has answered it, and whether it was not to be reached."""
+        """A delivery there is over: whether the worker has answered it, and whether it was not to be
+        reached."""
         worker.own = max(0, worker.own - 1)
         self.changed.add(worker.line.id)
         if answered:
--- a/sableford/margherita/courier.py
+++ b/sableford/margherita/courier.py
@@ -1,6 +1,7 @@
 """Deliveries to workers over kept connections. Each ends in a verdict on whether the message may have run.
 
-A worker is named by its instance in every delivery, so that whoever has its address later turns it away unrun.
+A worker is named by its instance in every delivery, so that whoever has its address later turns it away
+unrun.
 """
 
 import asyncio
@@ -10,7 +11,9 @@
 from sableford.margherita.choice import Line
 from sableford.margherita.words import Message
 
-DIAL_MS = 250.0  # for a connection: some round trips and a retry of a lost packet; then the worker is not there
+DIAL_MS = (
+    250.0  # for a connection: some round trips and a retry of a lost packet; then the worker is not there
+)
 SLACK_MS = 60.0  # past the deadline that the worker was handed, for its answer to arrive
 
 
--- a/sableford/margherita/disk.py
+++ b/sableford/margherita/disk.py
@@ -1,8 +1,8 @@
 """The folder of a machine with a disk: one lmdb file, written by one thread that gathers what waits into one
 synced commit. Nothing here runs on the event loop but the handing over.
 
-Each value carries a CRC32C. A folder that can't be read whole is a lost disk and never an empty one: the file is set
-aside and the process starts as one whose disk was lost.
+Each value carries a CRC32C. A folder that can't be read whole is a lost disk and never an empty one: the
+file is set aside and the process starts as one whose disk was lost.
 """
 
 import asyncio
@@ -65,10 +65,19 @@
                 with suppress(OSError):
                     (self.folder / name).replace(self.folder / f"{name}.damaged")
             self._open_env()
-        threading.Thread(target=self._run, name="disk", daemon=True).start()
+        self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
+        self._thread.start()
 
     def _open_env(self) -> None:
-        self._env = lmdb.open(str(self.folder), map_size=self._size, lock=False, max_spare_txns=2, readahead=False)
+        self._env = lmdb.open(
+            str(self.folder), map_size=self._size, lock=False, max_spare_txns=2, readahead=False
+        )
+
+    def close(self) -> None:
+        """Once nothing is asked of it any more."""
+        self._queue.put(None)
+        self._thread.join()
+        self._env.close()
 
     def load(self, prefix: bytes) -> Iterable[tuple[bytes, bytes]]:
         """All under a prefix, before anything is served. Raises Damaged."""
@@ -99,6 +108,8 @@
             jobs = [self._queue.get()]
             while len(jobs) < GATHER and not self._queue.empty():
                 jobs.append(self._queue.get())
+            ending = None in jobs
+            jobs = [job for job in jobs if job is not None]
             writes = [job for job in jobs if job[0] == "w"]
             if writes:
                 self._commit(writes)
@@ -110,6 +121,8 @@
                 except Exception as raised:
                     result, problem = None, raised
                 _tell(loop, [(future, result, problem)])
+            if ending:
+                return
 
     def _commit(self, writes: list) -> None:
         done: list = []
--- a/sableford/margherita/hut.py
+++ b/sableford/margherita/hut.py
@@ -1,6 +1,7 @@
 """The program of a machine with a disk: keeps messages, delivers them, and holds its part of the core.
 
-It owns the disk, the queue, the courier and the doors; every word from another process ends in a call of one of them.
+It owns the disk, the queue, the courier and the doors; every word from another process ends in a call of
+one of them.
 """
 
 import asyncio
@@ -44,7 +45,9 @@
 
 TICK = 15.0  # ms between two looks at what is due
 TELL = 40.0  # ms between two words to other stores on what is in flight here
-ASK = 1200.0  # ms for another store's answer; a message that is only late then is asked for elsewhere meanwhile
+ASK = (
+    1200.0  # ms for another store's answer; a message that is only late then is asked for elsewhere meanwhile
+)
 FILL, FILL_MS = 100, 40.0  # ends in one portion for a store that lost its folder, and ms between two
 SLOW = 500.0  # ms between looks that need not be often
 NODE = b"n"
@@ -59,7 +62,13 @@
         self.courier = Courier()
         self.queue: Queue | None = None
         self.lodge = Lodge(
-            life.me, sorted(settings.seeds), life.ways, self.disk, settings.heartbeat_ms, life.log, life.member
+            life.me,
+            sorted(settings.seeds),
+            life.ways,
+            self.disk,
+            settings.heartbeat_ms,
+            life.log,
+            life.member,
         )
         self.bounds = Bounds()
         self.bounds.body = 1_048_576
@@ -82,7 +91,9 @@
             "ends": self._ends,
             "drop": self._drop,
             "pull": lambda link, head, raw: life.task(self._pull(link, head)),
-            "settle": lambda link, head, raw: link.answer(head, {"ends": self.queue.settled_by(head["refs"])}),
+            "settle": lambda link, head, raw: link.answer(
+                head, {"ends": self.queue.settled_by(head["refs"])}
+            ),
             "seek": self._sought,
             "late": self._late,
             "told": lambda link, head, raw: self.choice.told(life.now(), link.peer, head["counts"]),
@@ -367,7 +378,9 @@
         if what == "m" and message is not None:
             self._write(message, lambda problem: self._kept("m", ref, problem))
         elif what == "e" and message is not None:
-            self.disk.write(_end_puts(ref, message.end)).add_done_callback(lambda done: self._kept("e", ref, done.exception()))
+            self.disk.write(_end_puts(ref, message.end)).add_done_callback(
+                lambda done: self._kept("e", ref, done.exception())
+            )
         elif what == "d":
             self.disk.write([(b"m" + key, None)])
 
@@ -420,7 +433,9 @@
                 message.body = body
                 verdict = await self.courier.deliver(message, body, worker.line, effect.until)
         if verdict.ran in (Ran.MAYBE, Ran.NOT_RUN, Ran.NEVER):
-            self.log.say("delivery", ref=effect.ref, worker=effect.worker, ran=verdict.ran.value, why=verdict.why)
+            self.log.say(
+                "delivery", ref=effect.ref, worker=effect.worker, ran=verdict.ran.value, why=verdict.why
+            )
         self._do(self.queue.delivered(self.life.now(), effect.ref, effect.worker, verdict))
 
     # The end
--- /dev/null
+++ b/sableford/margherita/takeover.py
@@ -0,0 +1,255 @@
+"""The queue's part that takes shards over, hands them on, and compares stores that have come back. No I/O.
+
+Who takes a shard over asks all other live stores what they hold of it, and waits until as many whole
+folders have answered as leave none out that an accepted message may be on; then which of that has ended.
+Who hands it on has acknowledged the view before, begins nothing more, and tells how what it had out has
+ended.
+"""
+
+from sableford.leconte.view import View, shard_in
+from sableford.margherita.table import Collect
+from sableford.margherita.taking import Taking
+from sableford.margherita.words import (
+    Drop,
+    Effect,
+    End,
+    Fill,
+    Keep,
+    Pull,
+    Reply,
+    Said,
+    Settle,
+    State,
+    TellEnd,
+)
+
+
+class Takeover(Taking):
+    def see(self, now: float, view: View) -> list[Effect]:
+        """The newest view, at once in force here."""
+        self.view = view
+        mine = {at: view.epochs[at] for at in view.owned(self.me, self.birth)}
+        if self.me in view.huts and view.huts[self.me].birth == self.birth:
+            self.whole = self.whole or view.huts[self.me].whole
+        gone = {
+            name
+            for name, birth in self._seen_huts.items()
+            if name != self.me and (name not in view.huts or view.huts[name].birth != birth)
+        }
+        new = {name for name, hut in view.huts.items() if self._seen_huts.get(name) != hut.birth} - {self.me}
+        self._seen_huts = {name: hut.birth for name, hut in view.huts.items()}
+        for name in sorted(gone):
+            self.choice.forget(name)
+        for at in [at for at, epoch in self.owned.items() if mine.get(at) != epoch]:
+            self._release(now, at)
+        for collect in list(self.collects.values()):
+            collect.shards &= {at for at in mine if mine[at] == view.epochs[at]}
+        for at in [at for at, one in self.collects.items() if at not in one.shards]:
+            del self.collects[at]
+            for _, _, waiter in self.parked.pop(at, []):
+                self._say(Reply(waiter, {"no": "owner"}))
+        fresh = {at for at in mine if at not in self.owned and at not in self.collects}
+        if fresh:
+            collect = Collect(next(self._rounds), fresh)
+            for at in fresh:
+                self.collects[at] = collect
+        for message in self.held.values():
+            message.end_held -= gone
+            if message.shard in self.owned:
+                message.held -= gone
+                if message.state is State.AWAY and message.away not in view.huts:
+                    self._back(now, message, 0.0)
+        for collect in self._rounds_open():
+            self._ask(now, collect, gone)
+        for name in sorted(new & self._others()):
+            self._compare(name)
+            if not view.huts[name].whole and self.ends:
+                self._say(Fill(name, sorted(self.ends)))
+        for message in list(self.held.values()):
+            if message.shard in self.owned and message.state is not State.ENDING and not self._safe(message):
+                self._copy(now, message)
+        for ref in list(self._ending):
+            self._spread_end(now, self.held[ref])
+        self._send_late(now)
+        self._pump(now)
+        return self._done()
+
+    def _rounds_open(self) -> list[Collect]:
+        return list({id(one): one for one in self.collects.values()}.values())
+
+    def _ask(self, now: float, collect: Collect, gone: set[str]) -> None:
+        for name in gone:
+            collect.asked.pop(name, None)
+            collect.answered.pop(name, None)
+            if collect.settling is not None:
+                collect.settling.discard(name)
+        for name in sorted(self._others()):
+            birth = self.view.huts[name].birth
+            if collect.asked.get(name) != birth:
+                collect.asked[name] = birth
+                have = [one.ref for one in self.held.values() if one.shard in collect.shards]
+                self._say(Pull(name, collect.number, sorted(collect.shards), have, True))
+        self._gather(now, collect)
+
+    def _release(self, now: float, shard: int) -> None:
+        """Ours no more: nothing of it begins here from now on."""
+        del self.owned[shard]
+        for ref in [ref for ref, (_, _, puts) in self._seeks.items() if puts[0][0]["shard"] == shard]:
+            for _, _, waiter in self._seeks.pop(ref)[2]:
+                self._say(Reply(waiter, {"no": "owner"}))
+        for message in self.held.values():
+            if message.shard != shard:
+                continue
+            for waiter in message.waiters:
+                self._say(Reply(waiter, {"no": "owner"}))
+            message.waiters = []
+            message.away = ""
+            self._taking.pop(message.ref, None)
+            if message.state is not State.ENDING:  # its end is told on until enough have it
+                message.state = State.COPY
+            self._keys.pop(message.key, None)
+
+    def pulled(self, now: float, store: str, number: int, word: dict | None) -> list[Effect]:
+        """Another store's answer, its messages having come before it; none where it did not answer."""
+        collect = next((one for one in self._rounds_open() if one.number == number), None)
+        if collect is None:
+            return self._compared_by(now, store, number, word)
+        if store not in collect.asked:
+            return self._done()
+        if word is None:
+            del collect.asked[store]  # asked again with the next tick
+            return self._done()
+        collect.answered[store] = word["whole"]
+        for ref in word["refs"]:
+            if (message := self.held.get(ref)) is not None:
+                message.held.add(store)
+        for ref in word["out"]:
+            if (message := self.held.get(ref)) is not None and (store, ref) not in collect.over:
+                message.away = store
+        for ref, tries in word["tries"].items():
+            if (message := self.held.get(ref)) is not None:
+                message.tries = max(message.tries, tries)
+        self._gather(now, collect)
+        return self._done()
+
+    def part(self, now: float, head: dict, body: bytes) -> list[Effect]:
+        """A message that another store holds and this one did not."""
+        ref = head["ref"]
+        if ref not in self.held and ref not in self.ends:
+            self.held[ref] = self._copy_of(now, head, body)
+            self._say(Keep("m", ref))
+        return self._done()
+
+    def _gather(self, now: float, collect: Collect) -> None:
+        """Whether all that may know have told; then which of it has ended."""
+        waits = self._others() - collect.answered.keys()
+        whole = sum(collect.answered.values()) + self.whole
+        if waits or whole < len(self.view.roster) - self.losses or not collect.shards:
+            return
+        if collect.settling is None:
+            collect.settling = set(collect.answered)
+            refs = sorted(
+                ref for ref, one in self.held.items() if one.shard in collect.shards and ref not in self.ends
+            )
+            if refs:
+                for name in sorted(collect.settling):
+                    self._say(Settle(name, collect.number, refs))
+            else:
+                collect.settling = set()
+        if not collect.settling:
+            self._open(now, collect)
+
+    def settled(self, now: float, store: str, number: int, ends: dict | None) -> list[Effect]:
+        collect = next((one for one in self._rounds_open() if one.number == number), None)
+        if collect is None or collect.settling is None or store not in collect.settling:
+            return self._done()
+        if ends is None:
+            self._say(
+                Settle(
+                    store,
+                    number,
+                    sorted(ref for ref, one in self.held.items() if one.shard in collect.shards),
+                )
+            )
+            return self._done()
+        for ref, end in ends.items():
+            self.ends[ref] = End.load(end)
+        collect.settling.discard(store)
+        self._gather(now, collect)
+        return self._done()
+
+    def _open(self, now: float, collect: Collect) -> None:
+        """All is known: these shards are served from here."""
+        shards = collect.shards
+        for at in shards:
+            self.owned[at] = self.view.epochs[at]
+            self.collects.pop(at, None)
+        for name in collect.answered:
+            self._note_compared(name, shards)
+        mine = [one for one in self.held.values() if one.shard in shards]
+        waiting = 0
+        for message in mine:
+            self._join_key(message)
+        for message in mine:
+            if (end := self.ends.get(message.ref)) is not None:
+                self._end(now, message, end)
+                continue
+            waiting += 1
+            if not self._safe(message):
+                message.copied_at = {}
+                self._copy(now, message)
+            if message.away and message.away in self.view.huts:
+                self._go_away(now, message)
+            else:
+                message.away, message.state = "", State.WAITING
+                self._line_up(now, message)
+        self._say(Said("shards_open", {"shards": sorted(shards), "messages": len(mine), "waiting": waiting}))
+        for at in sorted(shards):
+            for head, body, waiter in self.parked.pop(at, []):
+                self._effects = self.put(now, head, body, waiter)  # it gives all so far
+        self._pump(now)
+
+    def _compare(self, name: str) -> None:
+        shards = sorted(self.owned)
+        if shards:
+            self._comparing[name] = {at: self.owned[at] for at in shards}
+            self._say(Pull(name, 0, shards, [], False))
+
+    def _compared_by(self, now: float, store: str, number: int, word: dict | None) -> list[Effect]:
+        if number != 0 or word is None or store not in self.view.huts:
+            return self._done()
+        # Of a shard that has changed hands since it was asked about, what is unknown here is the new owner's.
+        still = {at for at, epoch in self._comparing.pop(store, {}).items() if self.owned.get(at) == epoch}
+        for ref in sorted(word["refs"]):
+            if shard_in(ref) not in still:
+                continue
+            if ref in self.ends:
+                self._say(TellEnd(store, ref, shard_in(ref), self.ends[ref]))
+            elif (message := self.held.get(ref)) is not None:
+                if message.shard in self.owned:
+                    message.held.add(store)
+                    self._check(now, message)
+            else:
+                self._say(Drop(store, ref, self.owned[shard_in(ref)]))
+        self._note_compared(store, still)
+        return self._done()
+
+    def _note_compared(self, store: str, shards: set[int]) -> None:
+        if (hut := self.view.huts.get(store)) is None:
+            return
+        birth, done = self._compared.get(store, ("", set()))
+        self._compared[store] = (hut.birth, (done if birth == hut.birth else set()) | shards)
+
+    def audits(self) -> dict[str, str]:
+        """Stores whose folders agree with what is owned here, by their births; none while a message lacks
+        copies."""
+        if self.collects or any(
+            one.shard in self.owned and one.state is not State.TAKING and not self._safe(one)
+            for one in self.held.values()
+        ):
+            return {}
+        return {
+            name: birth
+            for name, (birth, done) in self._compared.items()
+            if name in self.view.huts and self.view.huts[name].birth == birth and self.owned.keys() <= done
+        }
--- /dev/null
+++ b/sableford/margherita/taking.py
@@ -0,0 +1,205 @@
+"""The queue's part that takes messages in, has them copied, and keeps copies for others. No I/O."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from sableford.leconte.view import Number
+from sableford.margherita.turns import Turns
+from sableford.margherita.words import Copy, Effect, End, Keep, Message, Reply, Seek, State
+
+COPY_AGAIN = 60.0  # ms for a store to say that it keeps a copy; then another is asked too
+PARKED = 2000  # puts that wait for a shard to be taken over; more are sent back
+SEEK = 250.0  # ms for all to say whether they know one
+
+
+class Taking(Turns):
+    def put(self, now: float, head: dict, body: bytes, waiter: Any) -> list[Effect]:
+        """A message from whoever took it from its client. `head`: ref, shard, key, id, host, target,
+        method, delay, age, revision and `again` where it may have come before."""
+        shard, ref = head["shard"], head["ref"]
+        if shard in self.collects and len(self.parked.setdefault(shard, [])) < PARKED:
+            self.parked[shard].append((head, body, waiter))
+            return self._done()
+        if shard not in self.owned or not self.holds(now):
+            self._say(Reply(waiter, {"no": "owner"}))
+            return self._done()
+        if ref in self.ends:
+            self._say(Reply(waiter, {"kept": True}))
+        elif (known := self.held.get(ref)) is not None:
+            if known.state is State.TAKING:
+                known.waiters.append(waiter)
+            else:
+                self._say(Reply(waiter, {"kept": True}))
+        elif head.get("again") and self._others():
+            asked, until, puts = self._seeks.setdefault(ref, (set(self._others()), now + SEEK, []))
+            puts.append((head, body, waiter))
+            for name in sorted(asked):
+                self._say(Seek(name, ref))
+        else:
+            self._take(now, head, body, waiter)
+        return self._done()
+
+    def _take(self, now: float, head: dict, body: bytes, waiter: Any) -> None:
+        kept = {
+            name: head[name] for name in ("ref", "shard", "key", "id", "host", "target", "method", "revision")
+        }
+        kept["place"] = [list(self.owned[head["shard"]]), next(self._order)]
+        kept["type"] = head.get("type", "")
+        born = now - head["age"]
+        message = Message(kept, body, born + head["delay"], born)
+        message.state = State.TAKING
+        message.waiters.append(waiter)
+        self.held[message.ref] = message
+        self._taking[message.ref] = None
+        self._join_key(message)
+        self._say(Keep("m", message.ref))
+        self._copy(now, message)
+
+    def _copy(self, now: float, message: Message) -> None:
+        """To as many further stores as it takes."""
+        want = self.losses - len(message.held)
+        under_way = [
+            name
+            for name, at in message.copied_at.items()
+            if name not in message.held and now - at < COPY_AGAIN and name in self.view.huts
+        ]
+        want -= len(under_way)
+        if want <= 0:
+            return
+        for name in self._backups(message.shard):
+            if want <= 0:
+                return
+            if name in message.held or name in under_way:
+                continue
+            if now - message.copied_at.get(name, -1e12) < COPY_AGAIN * 5.0:
+                continue
+            message.copied_at[name] = now
+            self._say(Copy(name, message.ref, self.owned[message.shard]))
+            want -= 1
+
+    def _backups(self, shard: int) -> list[str]:
+        """Other stores in the order in which copies go to them: speaking before quiet, other zones first."""
+        names = sorted(self._others())
+        if not names:
+            return []
+        start = shard % len(names)
+        turned = names[start:] + names[:start]
+        huts, zone = self.view.huts, self.view.huts[self.me].zone if self.me in self.view.huts else ""
+        return sorted(
+            turned,
+            key=lambda name: (
+                name in self.quiet,
+                huts[name].leaving,
+                not huts[name].whole,
+                huts[name].zone == zone,
+            ),
+        )
+
+    def kept(self, now: float, what: str, ref: str, problem: str = "") -> list[Effect]:
+        """The own disk has it, or refuses."""
+        message = self.held.get(ref)
+        if message is None:
+            return self._done()
+        if problem:
+            if what == "m" and message.state is State.TAKING and not message.held:
+                self._untake(now, message, {"full": problem})
+            return self._done()
+        if what == "m":
+            message.synced = True
+            self._check(now, message)
+        elif what == "e" and message.state is State.ENDING:
+            message.end_held.add(self.me)
+            self._check_end(now, message)
+        return self._done()
+
+    def _untake(self, now: float, message: Message, word: dict) -> None:
+        """It never was accepted and never runs: nobody else has been found to hold it."""
+        for waiter in message.waiters:
+            self._say(Reply(waiter, word | {"may": bool(message.copied_at)}))
+        self._forget(now, message)
+        self._say(Keep("d", message.ref))
+
+    def copied(self, now: float, ref: str, store: str, yes: bool) -> list[Effect]:
+        """Another store has a copy on its disk, or has not."""
+        message = self.held.get(ref)
+        if message is None or message.shard not in self.owned:
+            return self._done()
+        if yes:
+            message.held.add(store)
+            self._check(now, message)
+        elif message.state is not State.ENDING:
+            message.copied_at[store] = now - COPY_AGAIN
+            self._copy(now, message)
+        return self._done()
+
+    def _check(self, now: float, message: Message) -> None:
+        if message.state is State.TAKING and self._safe(message) and self.holds(now):
+            message.state = State.WAITING
+            self._taking.pop(message.ref, None)
+            for waiter in message.waiters:
+                self._say(Reply(waiter, {"kept": True}))
+            message.waiters = []
+            self._line_up(now, message)
+            self._pump(now)
+
+    def copy(self, now: float, sender: str, head: dict, body: bytes) -> bool:
+        """Whether it is to be kept: not from an owner of the past."""
+        shard, ref = head["shard"], head["ref"]
+        if tuple(head["epoch"]) < self.view.epochs[shard]:
+            return False
+        if ref not in self.ends and ref not in self.held:
+            self.held[ref] = self._copy_of(now, head, body)
+        return True
+
+    def _copy_of(self, now: float, head: dict, body: bytes | None) -> Message:
+        drop = ("due_in", "age", "epoch", "op", "q", "raw")
+        kept = {name: value for name, value in head.items() if name not in drop}
+        return Message(kept, body, now + head["due_in"], now - head["age"])
+
+    def copy_kept(self, ref: str) -> None:
+        """The own disk has another's message; its bytes need not stay in memory."""
+        message = self.held.get(ref)
+        if message is not None:
+            message.synced = True
+            if message.state is State.COPY:
+                message.body = None
+
+    def dropped(self, now: float, ref: str, epoch: Number) -> bool:
+        """Whether it is to go from the disk: its shard's owner knows nothing of it."""
+        message = self.held.get(ref)
+        if message is None or message.shard in self.owned or message.shard in self.collects:
+            return False
+        if tuple(epoch) != self.view.epochs[message.shard] or message.state is State.ENDING:
+            return False
+        self._forget(now, message)
+        return True
+
+    def pulled_by(
+        self, now: float, shards: Iterable[int], have: Iterable[str], parts: bool
+    ) -> tuple[dict, list[Message]]:
+        """What this store holds of these shards: the answer, and the messages that go with it."""
+        wanted, known = set(shards), set(have)
+        mine = [one for one in self.held.values() if one.shard in wanted and one.ref not in self.ends]
+        word = {
+            "whole": self.whole,
+            "refs": [one.ref for one in mine if one.synced],
+            "out": [one.ref for one in mine if one.ref in self.out],
+            "tries": {one.ref: one.tries for one in mine if one.tries},
+        }
+        return word, [one for one in mine if parts and one.ref not in known]
+
+    def sought(self, now: float, store: str, ref: str, word: dict | None) -> list[Effect]:
+        """What another store knows of one that may have come before."""
+        if ref not in self._seeks:
+            return self._done()
+        asked, _, puts = self._seeks[ref]
+        asked.discard(store)
+        if word is not None and word.get("end"):
+            self.ends[ref] = End.load(word["end"])
+        if ref in self.ends or ref in self.held or not asked:
+            self._found(now, ref)
+        return self._done()
+
+    def _found(self, now: float, ref: str) -> None:
+        for head, body, waiter in self._seeks.pop(ref)[2]:
+            self._effects = self.put(now, head | {"again": False}, body, waiter)
--- a/sableford/margherita/walk.py
+++ b/sableford/margherita/walk.py
@@ -1,5 +1,6 @@
-"""The queue and the council in simulated time: stores, a core, an edge, clients and workers, with kills, losses of
-power, lost disks, cuts, freezes and planned restarts drawn from a seed. What clients and workers saw is the judge.
+"""The queue and the council in simulated time: stores, a core, an edge, clients and workers, with kills,
+losses of power, lost disks, cuts, freezes and planned restarts drawn from a seed. What clients and workers
+saw is the judge.
 
 `Walk(seed).play()` raises Wrong with the story of the message. No sockets, no files, no sleeping.
 """
@@ -83,7 +84,9 @@
         self.term, self.core_up = 0, False
         self.cut: set[frozenset[str]] = set()
         self.edge_view = View()
-        self.workers = {f"w{at}": Worker(f"w{at}", "a", f"10.9.0.{at}:80", "z0", 2, "ready", 0.0) for at in range(4)}
+        self.workers = {
+            f"w{at}": Worker(f"w{at}", "a", f"10.9.0.{at}:80", "z0", 2, "ready", 0.0) for at in range(4)
+        }
         self.busy = dict.fromkeys(self.workers, 0)
         self.seen: dict[str, list[Seen]] = {}
         self.accepted: dict[str, float] = {}
@@ -211,10 +214,9 @@
         if store.frozen > self.now or not self.core_up or not self._reach(name, "core"):
             store.joined = store.joined and self.core_up and store.frozen > self.now
             return
-        said = {
-            "birth": birth, "role": "store", "zone": store.zone, "node": name, "leaving": store.leaving,
-            "whole": store.queue.whole, "audits": store.queue.audits(), "view": msgspec.to_builtins(store.queue.view),
-        }  # fmt: skip
+        said = {"birth": birth, "role": "store", "zone": store.zone, "node": name, "leaving": store.leaving}
+        said |= {"whole": store.queue.whole, "audits": store.queue.audits()}
+        said["view"] = msgspec.to_builtins(store.queue.view)
         sent, term = self.now, self.term
         if store.joined and store.term == term:
             self.later(self._way(), self._renewed, name, birth, said, sent)
@@ -310,7 +312,9 @@
             self._council(self.council.tick(self.now))
 
     def _beat(self, worker: Worker) -> None:
-        said = {name: getattr(worker, name) for name in ("id", "backend", "address", "zone", "capacity", "phase")}
+        said = {
+            name: getattr(worker, name) for name in ("id", "backend", "address", "zone", "capacity", "phase")
+        }
         said |= {"cold_ms": 0.0, "revision": "v", "count": int(self.now)}
         self._council(self.council.beat(self.now, said)[1])
 
@@ -331,8 +335,12 @@
                     self._ask(
                         name,
                         to,
-                        lambda other, reply, head=head, body=message.body: self._copy(other, name, head, body, reply),
-                        lambda yes, ref=ref, to=to: self.act(store, store.queue.copied(self.now, ref, to, bool(yes))),
+                        lambda other, reply, head=head, body=message.body: self._copy(
+                            other, name, head, body, reply
+                        ),
+                        lambda yes, ref=ref, to=to: self.act(
+                            store, store.queue.copied(self.now, ref, to, bool(yes))
+                        ),
                     )
                 case words.TellEnd(to, ref, _, end):
                     self._ask(
@@ -351,7 +359,9 @@
                     self._ask(
                         name,
                         to,
-                        lambda other, reply, call=(name, shards, have, parts): self._pull(other, *call, reply),
+                        lambda other, reply, call=(name, shards, have, parts): self._pull(
+                            other, *call, reply
+                        ),
                         lambda got, to=to, number=number: self.act(
                             store, store.queue.pulled(self.now, to, number, got)
                         ),
@@ -372,13 +382,17 @@
                         lambda other, reply, ref=ref: reply(
                             {"end": list(other.queue.ends[ref]) if ref in other.queue.ends else None}
                         ),
-                        lambda got, to=to, ref=ref: self.act(store, store.queue.sought(self.now, to, ref, got)),
+                        lambda got, to=to, ref=ref: self.act(
+                            store, store.queue.sought(self.now, to, ref, got)
+                        ),
                     )
                 case words.Late(to, ref, shard, verdict):
                     self._ask(
                         name,
                         to,
-                        lambda other, reply, call=(name, ref, shard, verdict): self._late(other, *call, reply),
+                        lambda other, reply, call=(name, ref, shard, verdict): self._late(
+                            other, *call, reply
+                        ),
                         lambda got, ref=ref: store.queue.told_late(ref) if got else None,
                     )
                 case words.Reply(waiter, word):
@@ -391,7 +405,12 @@
         if message is None and what != "d":
             return
         if what == "m":
-            value: Any = (dict(message.head) | {"tries": message.tries}, message.body, message.due, message.born)
+            value: Any = (
+                dict(message.head) | {"tries": message.tries},
+                message.body,
+                message.due,
+                message.born,
+            )
         else:
             value = message.end if message is not None else None
         self.later(self.draw.uniform(*SYNC), self._kept, store, birth, what, ref, value)
@@ -407,9 +426,7 @@
             store.kept["e", ref] = value
         if what == "m" and ref in store.queue.held and store.queue.held[ref].shard not in store.queue.owned:
             store.queue.copy_kept(ref)
-        self._when_awake(
-            store.name, birth, lambda: self.act(store, store.queue.kept(self.now, what, ref))
-        )
+        self._when_awake(store.name, birth, lambda: self.act(store, store.queue.kept(self.now, what, ref)))
 
     def _copy(self, store: _Store, sender: str, head: dict, body: bytes, reply: Callable) -> None:
         if not store.queue.copy(self.now, sender, head, body):
@@ -450,7 +467,9 @@
         if store.queue.dropped(self.now, ref, epoch):
             store.kept.pop(("m", ref), None)
 
-    def _pull(self, store: _Store, sender: str, shards: list, have: list, parts: bool, reply: Callable) -> None:
+    def _pull(
+        self, store: _Store, sender: str, shards: list, have: list, parts: bool, reply: Callable
+    ) -> None:
         word, messages = store.queue.pulled_by(self.now, shards, have, parts)
         for message in messages:
             head = message.head | message.times(self.now)
@@ -463,7 +482,9 @@
         # Behind its parts on the same line.
         self.later(WAY[1] + 0.1, reply, word | {"shards": shards})
 
-    def _late(self, store: _Store, sender: str, ref: str, shard: int, verdict: Verdict, reply: Callable) -> None:
+    def _late(
+        self, store: _Store, sender: str, ref: str, shard: int, verdict: Verdict, reply: Callable
+    ) -> None:
         self.act(store, store.queue.late(self.now, sender, ref, shard, verdict))
         reply(True)
 
@@ -476,14 +497,21 @@
                 for other in self.stores.values():
                     if other is not store:
                         counts = store.choice.own_counts()
-                        self._to(store.name, other.name, lambda to, c=counts, s=store.name: to.choice.told(self.now, s, c))
+                        self._to(
+                            store.name,
+                            other.name,
+                            lambda to, c=counts, s=store.name: to.choice.told(self.now, s, c),
+                        )
 
     def _deliver(self, store: _Store, birth: str, ref: str, worker: str, until: float) -> None:
         message = store.queue.held.get(ref)
         if message is not None and message.body is None and ("m", ref) not in store.kept:
             raise self._wrong("LOST (its bytes)", ref)
         shard = int(ref[:2])
-        if (owner := self.council.view.owners[shard]) and (owner, self.council.view.births[shard]) != (store.name, birth):
+        if (owner := self.council.view.owners[shard]) and (owner, self.council.view.births[shard]) != (
+            store.name,
+            birth,
+        ):
             self._note(ref, "begun by", store.name, "owned by", owner)
             raise self._wrong("FENCE", ref)
         if self.busy[worker] >= 6:
@@ -511,7 +539,9 @@
             if self.fails[ref] >= 3:
                 self.ended.setdefault(ref, self.now)
         if lost or not self._up(store.name, birth):
-            self.later(300.0, self._over, store, birth, ref, worker, Verdict(Ran.MAYBE, "lost", reached=False))
+            self.later(
+                300.0, self._over, store, birth, ref, worker, Verdict(Ran.MAYBE, "lost", reached=False)
+            )
             return
         if good:
             self.done_at.setdefault(ref, self.now)
@@ -590,7 +620,12 @@
             raise self._wrong("TWICE", ref)
         if key := self.keys[ref]:
             for other, at in self.accepted.items():
-                if other != ref and self.keys[other] == key and at < self.sent[ref] and other not in self.ended:
+                if (
+                    other != ref
+                    and self.keys[other] == key
+                    and at < self.sent[ref]
+                    and other not in self.ended
+                ):
                     raise self._wrong("ORDER", ref, other)
 
     def _wrong(self, rule: str, *refs: str) -> Wrong:
@@ -615,7 +650,9 @@
             for state in states:
                 if state["phase"] == "complete" and state["seal"] not in self.seals.get(ref, ()):
                     raise self._wrong("MIXED", ref)
-        held = [m.ref for s in self.stores.values() for m in s.queue.held.values() if m.state is not State.COPY]
+        held = [
+            m.ref for s in self.stores.values() for m in s.queue.held.values() if m.state is not State.COPY
+        ]
         if held:
             raise self._wrong("NEVER ENDS", held[0])
 
@@ -638,7 +675,9 @@
                     store.kept, store.mark = {}, "lost"
                 self.later(down, self.start, name)
             case "cut":
-                pairs = {frozenset((name, other)) for other in [*self.stores, "core", "edge"] if other != name}
+                pairs = {
+                    frozenset((name, other)) for other in [*self.stores, "core", "edge"] if other != name
+                }
                 if self.draw.random() < 0.5:
                     pairs.discard(frozenset((name, "edge")))
                 self.cut |= pairs
--- a/sableford/margherita/words.py
+++ b/sableford/margherita/words.py
@@ -1,4 +1,5 @@
-"""What the queue is made of: a message as a store holds it, and what the queue asks of the world around it."""
+"""What the queue is made of: a message as a store holds it, and what the queue asks of the world around
+it."""
 
 from enum import Enum
 from typing import Any, NamedTuple
@@ -21,11 +22,32 @@
 
 
 class Message:
-    """`head` is what goes to disk and to other stores with the body; times are this process's steady clock, ms."""
+    """`head` is what goes to disk and to other stores with the body; times are this process's steady clock,
+    ms."""
 
     __slots__ = (
-        "at", "asked", "avoid", "away", "body", "born", "copied_at", "due", "end", "end_held", "held", "head",
-        "key", "pauses", "place", "ref", "revision", "shard", "state", "synced", "tries", "waiters",
+        "asked",
+        "at",
+        "avoid",
+        "away",
+        "body",
+        "born",
+        "copied_at",
+        "due",
+        "end",
+        "end_held",
+        "head",
+        "held",
+        "key",
+        "pauses",
+        "place",
+        "ref",
+        "revision",
+        "shard",
+        "state",
+        "synced",
+        "tries",
+        "waiters",
     )  # fmt: skip
 
     def __init__(self, head: dict[str, Any], body: bytes | None, due: float, born: float) -> None:
@@ -73,7 +95,8 @@
 
 
 class Keep(NamedTuple):
-    """To the own disk: the message (`what` is "m"), its end ("e", and the message goes), or nothing of it ("d")."""
+    """To the own disk: the message (`what` is "m"), its end ("e", and the message goes), or nothing of it
+    ("d")."""
 
     what: str
     ref: str
@@ -121,7 +144,8 @@
 
 
 class Pull(NamedTuple):
-    """Ask another store what it holds of these shards; with `parts` the messages too that are not in `have`."""
+    """Ask another store what it holds of these shards; with `parts` the messages too that are not in
+    `have`."""
 
     to: str
     round: int
--- a/sableford/policy/bound.py
+++ b/sableford/policy/bound.py
@@ -1,6 +1,7 @@
 """The mechanism both programs share: a rotation names a candidate, which takes the work while its estimate is
-within the local bound D - D_j of the lowest; else the lowest takes it, ties by chance. Copies that break the bound
-are to be refreshed ("Adaptive Load Balancing based on Consistency", Eq. 5 and 9; `docs/design.md`)."""
+within the local bound D - D_j of the lowest; else the lowest takes it, ties by chance. Copies that break
+the bound are to be refreshed ("Adaptive Load Balancing based on Consistency", Eq. 5 and 9;
+`docs/design.md`)."""
 
 from collections.abc import Callable, Iterator, Sequence
 from typing import TypeVar
@@ -16,7 +17,8 @@
 def within(
     indices: Sequence[tuple[float, T]], index: float, named: T, bound: float, chance: Callable[[int], int]
 ) -> T:
-    """The candidate `named`, of load `index`, while that is within the bound of the lowest; else a lowest one."""
+    """The candidate `named`, of load `index`, while that is within the bound of the lowest; else a lowest
+    one."""
     lowest = min(indices, key=_load)[0]
     if index - lowest <= bound:
         return named
--- a/sableford/sapienza/gate.py
+++ b/sableford/sapienza/gate.py
@@ -1,5 +1,5 @@
-"""The program that clients reach. It keeps nothing: a message is answered with 202 once its shard's owner has it on
-enough disks; what it can't hand on is answered by what is known of whether it may ever run.
+"""The program that clients reach. It keeps nothing: a message is answered with 202 once its shard's owner
+has it on enough disks; what it can't hand on is answered by what is known of whether it may ever run.
 """
 
 import asyncio
@@ -19,7 +19,9 @@
 ASK_MS = 700.0  # for an owner to answer a put; it may have it then, or not
 LOOK_MS = 25.0  # between two looks for an owner while there is none
 SPARE_MS = 120.0  # before the client gives up, for the answer to reach it
-PATIENCE_MS = 1300.0  # for a shard to find another owner, where the client says nothing: a lease and a taking over
+PATIENCE_MS = (
+    1300.0  # for a shard to find another owner, where the client says nothing: a lease and a taking over
+)
 STATUS_MS = 1700.0  # those who ask for a state wait two seconds
 STALE_MS = 3000.0  # without a lease for so long, the configuration may be an old one
 LEAVE_MS = 2300.0  # after SIGTERM: two missed looks at whether it is ready
--- a/sableford/trailhead/cli.py
+++ b/sableford/trailhead/cli.py
@@ -1,8 +1,10 @@
-"""The command line. Exit codes: 0 after SIGTERM, 2 with one line for a bad start, 70 after a failure inside."""
+"""The command line. Exit codes: 0 after SIGTERM, 2 with one line for a bad start, 70 after a failure
+inside."""
 
 import asyncio
 import sys
 from pathlib import Path
+from typing import ClassVar
 
 import uvloop
 from cleo.application import Application
@@ -32,7 +34,9 @@
 
 
 class _Serve(Command):
-    options = [option("settings", "s", "The settings file; else the one that SABLEFORD_SETTINGS names.", flag=False)]  # noqa: RUF012
+    options: ClassVar = [
+        option("settings", "s", "The settings file; else the one that SABLEFORD_SETTINGS names.", flag=False)
+    ]
     role = ""
 
     def handle(self) -> int:
@@ -65,8 +69,10 @@
 class Check(Command):
     name = "check"
     description = "Reads a settings file, or a configuration (JSON), and says what is wrong with it."
-    arguments = [argument("file", "The file.")]  # noqa: RUF012
-    options = [option("configuration", "c", "It is a configuration, not a settings file.", flag=True)]  # noqa: RUF012
+    arguments: ClassVar = [argument("file", "The file.")]
+    options: ClassVar = [
+        option("configuration", "c", "It is a configuration, not a settings file.", flag=True)
+    ]
 
     def handle(self) -> int:
         file = Path(self.argument("file"))
@@ -82,10 +88,14 @@
                     raise SettingsError(f"{file}: {problem.strerror}") from None
                 except (Invalid, orjson.JSONDecodeError) as problem:
                     raise SettingsError(f"{file}: {problem}") from None
-                self.line(f"revision {found.revision}: {len(found.routes)} routes, {len(found.backends)} backends")
+                self.line(
+                    f"revision {found.revision}: {len(found.routes)} routes, {len(found.backends)} backends"
+                )
             else:
                 settings = settings_file.read(file)
-                self.line(f"{settings.node_name} in {settings.zone}: {', '.join(settings.serves) or 'no duty'}")
+                self.line(
+                    f"{settings.node_name} in {settings.zone}: {', '.join(settings.serves) or 'no duty'}"
+                )
         except SettingsError as problem:
             self.line_error(str(problem))
             return 2
--- a/sableford/trailhead/life.py
+++ b/sableford/trailhead/life.py
@@ -1,5 +1,5 @@
-"""What every process of the system does besides its duty: the inner address, held links, its signals, its settings
-while they change."""
+"""What every process of the system does besides its duty: the inner address, held links, its signals, its
+settings while they change."""
 
 import asyncio
 import os
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -1,5 +1,5 @@
-"""Plain asserts on the system: walks in simulated time with planted mistakes, orders to the core, the doors on bytes,
-verdicts, the folder of a store. Nothing here sleeps, opens a port or needs the bench."""
+"""Plain asserts on the system: walks in simulated time with planted mistakes, orders to the core, the doors
+on bytes, verdicts, the folder of a store. Nothing here sleeps, opens a port or needs the bench."""
 
 import asyncio
 import tempfile
@@ -137,9 +137,9 @@
     def sends(self, step, back):
         base = max(0, self.state.revision - back)
         fresh = self._order(str(base), orjson.dumps(config(self.state.revision + step)))
-        assert fresh == (200 if base == self.state.revision - 0 or self.state.revision == self.acked[-1][1] else 412) or (
-            fresh == 412 and back
-        )
+        assert fresh == (
+            200 if base == self.state.revision - 0 or self.state.revision == self.acked[-1][1] else 412
+        ) or (fresh == 412 and back)
 
     @rule()
     def repeats(self):
@@ -166,7 +166,11 @@
 
 def shows_orders_of_two_operators_leave_one_line_of_versions() -> None:
     steps = settings(
-        max_examples=40, derandomize=True, deadline=None, database=None, suppress_health_check=list(HealthCheck)
+        max_examples=40,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
     )
     run_state_machine_as_test(Orders, settings=steps)
 
@@ -223,7 +227,9 @@
     def resume_reading(self): ...
 
 
-def visited(parts: list[bytes], handle=lambda request: Answer(200, request.body, kind="text/plain")) -> tuple[bytes, bool]:
+def visited(
+    parts: list[bytes], handle=lambda request: Answer(200, request.body, kind="text/plain")
+) -> tuple[bytes, bool]:
     async def visit() -> tuple[bytes, bool]:
         bounds = Bounds()
         bounds.head, bounds.body = 400, 50
@@ -338,7 +344,11 @@
 def shows_bad_settings_are_named_and_end_with_two() -> None:
     good = "nodeName: a\nbindIp: 10.0.0.1\nzone: z\nportRange: [7300, 7301]\nnewField: 3\n"
     assert parse(good, "s").port_range == (7300, 7301)
-    for text, word in ((good + "seedNodes: [x]\n", "'x'"), (good.replace("a\n", "[1]\n", 1), "nodeName"), ("{", "YAML")):
+    for text, word in (
+        (good + "seedNodes: [x]\n", "'x'"),
+        (good.replace("a\n", "[1]\n", 1), "nodeName"),
+        ("{", "YAML"),
+    ):
         try:
             parse(text, "s.yaml")
         except SettingsError as problem:
