Let voters and the roster of stores change: replaced, added, lost and emptied stores

Change: the first voters are kept on disk; a leader works towards 2 x machineLoss + 1 voters among live stores, one change at a time; a store away for 5.5 s is struck off the roster once all owners have their messages safe without it; retirement by the same way; copies on any disks count, so a stalled or full own disk is passed over; drains and leaves are acknowledged only by a leader that a majority confirms.

--- a/sableford/fleet/record/core.py
+++ b/sableford/fleet/record/core.py
@@ -186,9 +186,11 @@
         now: float,
         seed: int,
         most: int = MOST_VALUE,
+        newcomer: bool = False,
     ) -> None:
         """`voters`: the names that the file gives; their ids are agreed on when all meet for the first
-        time. `most` bytes of one value: what the way between the processes carries."""
+        time. `most` bytes of one value: what the way between the processes carries. `newcomer`: its folder
+        is empty, others began long ago; it votes once they have voted it in."""
         self.name, self.birth, self.id, self._most = name, birth, held.id, most
         self._draw = Random(f"record {name} {birth} {seed}")
         self._names = tuple(voters)
@@ -201,6 +203,10 @@
         self._based: dict[str, str] = dict.fromkeys(self._names, "")  # voters by the snapshot or the file
         if held.image is not None:
             self._take(held.image)
+        self.wanted = tuple(voters)  # who should vote, as its host sees it; a leader works towards that
+        self.around: tuple[str, ...] = ()  # others who hold the record, as its host sees it
+        if newcomer and held.image is None and not self.entries:
+            self._based = dict.fromkeys(self._names, UNKNOWN)
         self.commit = self.machine.last
         self.durable = self.last
         self._lost = held.lost
@@ -208,8 +214,11 @@
             # It may have voted in that term: for whom is lost, so it does so no more.
             self.term, self.vote = self._lost[0], "?"
         self.standing = self._was = Standing.LEARNER  # and the one before its disk failed
-        if name in self._names:
-            self.standing = Standing.HAILING if any(self._latest_voters().values()) else Standing.NEW
+        bound = any(self._latest_voters().values())
+        if newcomer and UNKNOWN in self._based.values():
+            self.standing = Standing.STRANGER
+        elif name in (self._latest_voters() if bound else self._names):
+            self.standing = Standing.HAILING if bound else Standing.NEW
         self.leader = ""
         self.leads = False
         self._voters = self._latest_voters()
@@ -255,6 +264,19 @@
     def voters(self) -> dict[str, str]:
         return self._voters
 
+    def settled_voters(self) -> dict[str, str] | None:
+        """Who votes, agreed on; none while that is changing."""
+        if not self.bound() or any(
+            entry.kind == Kind.VOTERS for entry in self.entries[max(0, self.commit + 1 - self.first) :]
+        ):
+            return None
+        return dict(self._voters)
+
+    def _peers(self) -> list[str]:
+        """Others who may hold the record."""
+        known = dict.fromkeys([*self._names, *self._voters, *self.around])
+        return [name for name in known if name != self.name]
+
     def bound(self) -> bool:
         return any(self._voters.values())
 
@@ -283,7 +305,7 @@
         self._last_tick = now
         if self.standing in (Standing.NEW, Standing.HAILING) and now >= self._hail_at:
             out += self._hail(now)
-        if self.standing is Standing.STRANGER and self._is_voter(self.name, self.id):
+        if self.standing in (Standing.STRANGER, Standing.LEARNER) and self._is_voter(self.name, self.id):
             out += self._voter_again()
         if self.leads:
             out += self._lead(now)
@@ -307,12 +329,13 @@
         self._hail_at = now + HAIL
         out: list[Effect] = []
         word = Hail(self.id, self.term, self.durable, self.bound())
-        out += [Send(name, word) for name in self._names if name != self.name]
+        out += [Send(name, word) for name in self._peers()]
         return out + self._weigh(now)
 
     def _weigh(self, now: float) -> list[Effect]:
         """What the answers to a hail come to."""
-        others = [name for name in self._names if name != self.name]
+        voters = self._voters if self.bound() else self._names
+        others = [name for name in voters if name != self.name]
         named = any(hail.bound for hail in self._hails.values())  # with this folder, or it were a stranger
         if self.standing is Standing.NEW and not named:
             # A record that all are new to begins with all of them, or another one's past would be lost.
@@ -611,12 +634,23 @@
     def _readmit(self, now: float) -> list[Effect]:
         """A voter whose folder was lost: out with the old id, then in with the new, each agreed on by
         itself."""
-        if self.term_at(self.commit) != self.term or any(
-            entry.kind == Kind.VOTERS for entry in self.entries[max(0, self.commit + 1 - self.first) :]
-        ):
+        if self.term_at(self.commit) != self.term or self.settled_voters() is None:
             return []
+        ready = {
+            name: id
+            for name, (id, have, at) in sorted(self._learners.items())
+            if name in self.wanted
+            and self._voters.get(name) != id
+            and now - at <= PULL * 4
+            and have >= self.commit - SNAP_KEEP // 10
+        }
+        past = [name for name in sorted(self._voters) if name not in self.wanted and name != self.name]
+        if past and ready.keys() - self._voters.keys() and len(self._voters) > 2:
+            rest = {name: id for name, id in self._voters.items() if name != past[0]}
+            said = Said("record_voter", {"voter": past[0], "id": self._voters[past[0]], "in": False})
+            return [said, *self._enter(self._named(rest))]
         for name, (id, have, at) in sorted(self._learners.items()):
-            if name not in self._names or self._voters.get(name) == id or now - at > PULL * 4:
+            if name not in self.wanted or self._voters.get(name) == id or now - at > PULL * 4:
                 continue
             if name in self._voters:
                 rest = {other: own for other, own in self._voters.items() if other != name}
@@ -778,7 +812,7 @@
         if now < self._pull_at and not source:
             return []
         self._pull_at = now + (AGAIN if self._snap is not None else PULL * self._draw.uniform(0.5, 1.5))
-        names = [name for name in self._names if name != self.name]
+        names = self._peers()
         if not source and not names:
             return []
         # By chance, so that the leader too hears of it; a snapshot under way is one process's.
@@ -789,6 +823,21 @@
         last, at = (self._snap[0], len(self._snap[2])) if self._snap else (0, 0)
         return [Send(to, Fetch(self.id, self.commit, last, at))]
 
+    def outvoted(self, now: float) -> list[Effect]:
+        """Others have agreed on voters without this one: it comes back as a newcomer, if at all."""
+        if self.standing in (Standing.STRANGER, Standing.LEARNER) or self.leads:
+            return []
+        return self._stands(Standing.STRANGER, "it was voted out") + self._renew()
+
+    def resign(self, now: float) -> list[Effect]:
+        """Leads no more, and leaves it to others to stand first."""
+        if not self.leads:
+            return []
+        self.leads, self.leader = False, ""
+        self._due_at = now + ELECTION * 4.0
+        said = Said("record_leads_no_more", {"term": self.term, "why": "it resigns"})
+        return [said, *self._refuse_all("the leader resigned")]
+
     def newest(self, now: float, index: int) -> None:
         """Somebody has come further: a learner fetches at once."""
         if index > self.commit and not self._is_voter(self.name, self.id):
--- a/sableford/leconte/council.py
+++ b/sableford/leconte/council.py
@@ -16,12 +16,13 @@
 
 import msgspec
 
-from sableford.leconte.view import SHARDS, Hut, View, shares
+from sableford.leconte.view import SHARDS, Hut, Number, View, shares
 
 LEASE = 1500.0  # ms: longer than an election takes, so that a new leader finds leases running
 RENEW = 250.0  # ms between renewals: five in a lease may be lost
 STRAY = 1000.0  # ms that a leader cut off may go on granting leases (the record's)
 APPLIED = 600.0  # ms that an acknowledgement to the outside waits for members to apply what it is about
+ABSENT = 5500.0  # ms a store may be away before the others do without it: a planned restart takes less
 MISSED = 3.2  # beats missed: then a worker is gone
 TOMB = 60_000.0  # ms that the id of a worker that left is remembered, so that a late beat does not revive it
 
@@ -39,6 +40,7 @@
     whole: bool = True
     registered: bool = False
     audits: dict[str, str] = {}  # stores whose folder it has compared, by the birth it was of
+    safe: Number = (0, 0)  # the newest view under which all messages of its shards had their copies
 
 
 class Worker(msgspec.Struct):
@@ -70,6 +72,12 @@
     name: str
 
 
+class Strike(NamedTuple):
+    """The store is to stand in the record no more: whatever it holds is safe without it."""
+
+    name: str
+
+
 class Done(NamedTuple):
     """What `token` waited for has been applied by all who must, or can be waited for no longer."""
 
@@ -82,7 +90,7 @@
     facts: dict
 
 
-Effect = News | Register | Done | Said
+Effect = News | Register | Strike | Done | Said
 
 
 class _Wait(NamedTuple):
@@ -101,6 +109,8 @@
         self.term = 0
         self.members: dict[str, Member] = {}
         self.roster: list[str] = []
+        self.retiring: set[str] = set()  # stores that are to be emptied, by the operator's word
+        self.retired: set[str] = set()
         self.view = View()
         self.workers: dict[str, Worker] = {}
         self._until: dict[str, float] = {}
@@ -119,6 +129,8 @@
         self._best: View | None = None
         self._token = 0
         self._proposed: set[str] = set()
+        self._away: dict[str, float] = {}  # stores of the roster that are no members, since when
+        self._without: dict[str, Number] = {}  # the first view in which what a store holds counts no more
 
     # Who leads
 
@@ -126,6 +138,7 @@
         self.leads, self.term, self._since, self._warm = True, term, now, False
         self.members, self._over, self._waits, self._best = {}, set(), [], None
         self.number, self._holders, self._proposed = 0, {}, set()
+        self._away, self._without = {}, {}
         for id in self.workers:
             self._until[id] = now + self._silence()
         return [Said("core_leads", {"term": term})]
@@ -145,9 +158,12 @@
             self.workers = {worker.id: worker for worker in workers}
             self._until = {id: now + self._silence() for id in self.workers}
 
-    def enrol(self, now: float, roster: list[str]) -> list[Effect]:
+    def enrol(
+        self, now: float, roster: list[str], retiring: Iterable[str] = (), retired: Iterable[str] = ()
+    ) -> list[Effect]:
         """The stores that stand in the record."""
-        self.roster = roster
+        self.roster, self.retiring, self.retired = roster, set(retiring), set(retired)
+        self._proposed &= set(roster)
         if not self.leads:
             return []
         for name, member in self.members.items():
@@ -170,7 +186,8 @@
             said.get("control") or "",
             now + LEASE,
             leaving=bool(said.get("leaving")),
-            whole=bool(said.get("whole", True)),
+            # One that does not stand in the record holds nothing that anyone counts on.
+            whole=bool(said.get("whole", True)) or name not in self.roster,
             registered=name in self.roster,
             audits=old.audits if old is not None and old.birth == said["birth"] else {},
         )
@@ -180,7 +197,7 @@
             seen = msgspec.convert(held, View)
             if self._best is None or seen.number > self._best.number:
                 self._best = seen
-        if member.role == "store" and not member.registered and name not in self._proposed:
+        if member.role == "store" and not member.registered and name not in self._proposed | self.retired:
             self._proposed.add(name)
             out.append(Register(name))
         member.sent = self.number
@@ -205,6 +222,7 @@
             return False
         member.until = now + LEASE
         member.audits = said.get("audits") or {}
+        member.safe = max(member.safe, tuple(said.get("safe") or (0, 0)))
         if said.get("leaving"):
             member.leaving = True
         return True
@@ -237,7 +255,34 @@
         for id in [id for id, until in self._until.items() if now > until and id in self.workers]:
             out += self._drop(now, id, "silent")
         self._tombs = {id: until for id, until in self._tombs.items() if until > now}
-        return out + self._steer(now) + self._served(now)
+        return out + self._steer(now) + self._strike(now) + self._served(now)
+
+    def _strike(self, now: float) -> list[Effect]:
+        """Stores that are away for long or to be emptied, once all that they hold is safe without them."""
+        if not self._warm or "" in self.view.owners:
+            return []
+        for name in self.roster:
+            hut = self.view.huts.get(name)
+            if hut is not None and not hut.retiring:
+                self._away.pop(name, None)
+                self._without.pop(name, None)
+                continue
+            self._away.setdefault(name, now)
+            self._without.setdefault(name, self.view.number)
+        self._away = {name: at for name, at in self._away.items() if name in self.roster}
+        safe = min(
+            self.members[owner].safe if owner in self.members else (0, 0) for owner in self.view.owners
+        )
+        for name, since in sorted(self._away.items()):
+            patient = name in self.retiring or now - since >= ABSENT
+            if patient and safe >= self._without[name] and name not in self._proposed:
+                self._proposed.add(name)
+                return [Strike(name), Said("store_done_without", {"store": name, "view": safe})]
+        return []
+
+    def struck(self, name: str) -> None:
+        """The record has it, or not; it is proposed again where it must be."""
+        self._proposed.discard(name)
 
     # Waiting for what members have applied
 
@@ -296,7 +341,7 @@
     def _steer(self, now: float) -> list[Effect]:
         """The next view, where something is to change and may."""
         if not self._warm:
-            known = set(self.roster) | ({*self._best.roster} if self._best else set())
+            known = set(self.roster)
             pending = [name for name in known if name not in self.members and name not in self._over]
             if not known or (pending and now < self._since + STRAY + LEASE):
                 return []
@@ -305,7 +350,11 @@
         stores = {name: one for name, one in self.members.items() if one.role == "store" and one.registered}
         view = self.view
         owners, births, epochs = list(view.owners), list(view.births), list(view.epochs)
-        able = sorted(name for name, one in stores.items() if not one.leaving and self._is_whole(name))
+        able = sorted(
+            name
+            for name, one in stores.items()
+            if not one.leaving and name not in self.retiring and self._is_whole(name)
+        )
         target = shares(owners, able)
         number = (self.term, view.number[1] + 1 if view.number[0] == self.term else 1)
         changed = view.number[0] != self.term
@@ -326,7 +375,15 @@
             owners[at], births[at], epochs[at] = want, stores[want].birth, number
             changed = True
         huts = {
-            name: Hut(one.birth, one.zone, one.node, one.control, one.leaving, self._is_whole(name))
+            name: Hut(
+                one.birth,
+                one.zone,
+                one.node,
+                one.control,
+                one.leaving,
+                self._is_whole(name),
+                name in self.retiring,
+            )
             for name, one in sorted(stores.items())
         }
         if not changed and huts == view.huts and self.roster == view.roster:
--- a/sableford/leconte/folder.py
+++ b/sableford/leconte/folder.py
@@ -19,6 +19,7 @@
     first: int = 1
     before: int = 0
     lost: tuple[int, int] | None = None
+    names: tuple[str, ...] = ()  # who voted first
 
 
 def _entry_key(index: int) -> bytes:
@@ -49,8 +50,14 @@
             meta.id, meta.term, meta.vote, image, meta.first, meta.before, tuple(kept), meta.lost
         )
 
-    def begin(self) -> list[tuple[bytes, bytes | None]]:
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Who voted first, as the first start of this folder was told."""
+        return self._meta.names
+
+    def begin(self, names: Iterable[str]) -> list[tuple[bytes, bytes | None]]:
         """What a new folder begins with."""
+        self._meta.names = tuple(names)
         return [(META, msgspec.msgpack.encode(self._meta))]
 
     def puts(self, deeds: Iterable[object]) -> list[tuple[bytes, bytes | None]]:
@@ -68,7 +75,7 @@
                     self._last = index
                 case Whole(id, meta, image, first, before, entries, lost):
                     out += [(_entry_key(at), None) for at in range(self._meta.first, self._last + 1)]
-                    self._meta = _Meta(id, meta.term, meta.vote, first, before, lost)
+                    self._meta = _Meta(id, meta.term, meta.vote, first, before, lost, self._meta.names)
                     out.append((META, msgspec.msgpack.encode(self._meta)))
                     out.append((IMAGE, None if image is None else msgspec.msgpack.encode(image)))
                     out += [
--- a/sableford/leconte/lodge.py
+++ b/sableford/leconte/lodge.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import copy
 import os
 from collections.abc import Callable
 from typing import Any
@@ -15,15 +16,15 @@
 
 from sableford.altavia.calls import ANY, Tree
 from sableford.altavia.http import Answer, Request
-from sableford.altavia.links import Link, Ways
+from sableford.altavia.links import Link
 from sableford.fleet.record import core as record_core
 from sableford.fleet.record import words as record_words
 from sableford.fleet.record.core import Record, put
 from sableford.leconte import book
-from sableford.leconte.council import Council, Done, News, Register
+from sableford.leconte.council import ABSENT, Council, Done, News, Register, Strike
 from sableford.leconte.folder import Folder
-from sableford.leconte.member import Member
 from sableford.margherita.disk import Disk
+from sableford.trailhead.life import Life
 
 TICK = 40.0  # ms between two looks at leases
 OFFER = 3000.0  # ms for the core to agree on an order; its caller asks again
@@ -34,32 +35,24 @@
 class Lodge:
     """`start` once the disk is open."""
 
-    def __init__(
-        self,
-        me: str,
-        voters: list[str],
-        ways: Ways,
-        disk: Disk,
-        heartbeat_ms: float,
-        log: Any,
-        member: Member,
-    ) -> None:
-        self.me, self.ways, self._disk, self._log, self._member = me, ways, disk, log, member
+    def __init__(self, life: Life, disk: Disk) -> None:
+        self.me, self.ways, self._disk, self._log = life.me, life.ways, disk, life.log
+        self._member, self._life, self._losses = life.member, life, life.settings.tolerates.machine_loss
         self._loop = asyncio.get_running_loop()
-        self.council = Council(heartbeat_ms)
+        self.council = Council(life.settings.heartbeat_ms)
         self._lines: dict[str, Link] = {}
         self._answers: dict[int, asyncio.Future] = {}
         self._done: dict[int, asyncio.Future] = {}
-        self._config_index = 0
+        self._config_index = self._roster_index = 0
+        self.rolls: dict = {"stores": [], "retiring": {}, "retired": {}}
         self.state = book.State()
         self._led = False
         self._ordering = asyncio.Lock()
         self._birth = int.from_bytes(os.urandom(6), "little")
         self._record: Record | None = None
         self._folder: Folder | None = None
-        self._voters = voters
+        self._absent: dict[str, float] = {}  # voters that are no members, since when
         self._words = msgspec.json.Decoder(record_words.Words)
-        self._store_line: list[tuple[int, asyncio.Future]] = []
         self.tree = Tree(
             {
                 "v1": {
@@ -73,22 +66,21 @@
                 }
             }
         )
-        ways.refused.append(self._refused)
-        ways.down.append(lambda name: None)
+        self.ways.refused.append(self._refused)
 
     def now(self) -> float:
         return self._loop.time() * 1000.0
 
     def start(self, folder: Folder) -> None:
-        if self.me in self._voters:
-            self._folder = folder
-            seed = crc32(self.me.encode())
-            self._record = Record(
-                self.me, self._birth, self._voters, folder.held, self.now(), seed, most=MOST
-            )
-            if folder.fresh:
-                self._disk.write(folder.begin())
-            self._take_state()
+        """Every store holds the record; who votes is agreed on in it, at first the seeds."""
+        self._folder = folder
+        newcomer = not folder.names
+        names = folder.names or sorted({*self._life.settings.seeds} - {self.me})
+        seed = crc32(self.me.encode())
+        self._record = Record(
+            self.me, self._birth, names, folder.held, self.now(), seed, most=MOST, newcomer=newcomer
+        )
+        self._take_state()
         self._loop.call_soon(self._tick)
 
     # Time
@@ -99,6 +91,7 @@
             if now >= self._record.due:
                 self._do(self._record.tick(now))
             self._watch(now)
+            self._elect(now)
         self._council(self.council.tick(now))
         within = TICK if self._record is None else min(TICK, max(5.0, self._record.due - now))
         self._loop.call_later(within / 1000.0, self._tick)
@@ -115,7 +108,7 @@
             self._led = True
             self._take_state()
             self._council(self.council.lead(now, record.term))
-            self._council(self.council.enrol(now, self.roster()))
+            self._enrol(now)
         elif self._led and not record.leads:
             self._led = False
             self._council(self.council.step_down())
@@ -183,10 +176,6 @@
         finally:
             self._answers.pop(number, None)
 
-    def roster(self) -> list[str]:
-        value = self._record.machine.values.get(ROSTER) if self._record else None
-        return orjson.loads(value.data) if value else []
-
     def _take_state(self) -> None:
         """What the record adds up to now."""
         machine, now = self._record.machine, self.now()
@@ -196,8 +185,43 @@
             self._council(
                 self.council.configured(now, {"revision": self.state.revision, "doc": self.state.doc})
             )
-        if self.roster() != self.council.roster:
-            self._council(self.council.enrol(now, self.roster()))
+        value = machine.values.get(ROSTER)
+        if value is not None and value.index != self._roster_index:
+            self._roster_index, self.rolls = value.index, orjson.loads(value.data)
+            self._enrol(now)
+
+    def _enrol(self, now: float) -> None:
+        rolls = self.rolls
+        retired = rolls["retired"].values()
+        self._council(self.council.enrol(now, rolls["stores"], rolls["retiring"].values(), retired))
+
+    def _elect(self, now: float) -> None:
+        """Who should vote: who does and is there or was lately, then other stores, other zones first."""
+        record, council = self._record, self.council
+        record.around = tuple(self._member.view.huts)
+        if not self.leads:
+            return
+        stores = {
+            name: one
+            for name, one in council.members.items()
+            if one.role == "store" and one.registered and name not in council.retiring
+        }
+        voters = record.settled_voters()
+        if voters is None:
+            return
+        self._absent = {name: self._absent.get(name, now) for name in voters if name not in stores}
+        lately = [name for name, at in self._absent.items() if now - at < ABSENT]
+        wanted = [name for name in voters if name in stores or name in lately]
+        wanted = [name for name in wanted if name not in council.retiring]
+        rest = [name for name in sorted(stores) if name not in wanted]
+        while len(wanted) < 2 * self._losses + 1 and rest:
+            zones = [stores[name].zone for name in wanted if name in stores]
+            rest.sort(key=lambda name: (zones.count(stores[name].zone), name))
+            wanted.append(rest.pop(0))
+        record.wanted = tuple(wanted)
+        if self.me in council.retiring and self.me in voters and len(wanted) > 1:
+            self._do(record.resign(now))
+            self._watch(now)
 
     def _refused(self, name: str) -> None:
         if self._record is not None:
@@ -215,6 +239,8 @@
                         line.send(word)
                 case Register(name):
                     self._loop.create_task(self._register(name))
+                case Strike(name):
+                    self._loop.create_task(self._strike(name))
                 case Done(token, all):
                     future = self._done.pop(token, None)
                     if future is not None and not future.done():
@@ -222,12 +248,44 @@
                 case _:
                     self._log.say(effect.event, **effect.facts)
 
+    async def _enter(self, change: Callable[[dict], bool]) -> bool:
+        """The rolls of stores with a change, after what stands there; whether it is in force."""
+        while self.leads:
+            rolls = copy.deepcopy(self.rolls)
+            if not change(rolls):
+                return True
+            answer = await self._offer(put(ROSTER, orjson.dumps(rolls), self._roster_index))
+            if answer is None:
+                return False
+        return False
+
     async def _register(self, name: str) -> None:
-        """Into the roster of stores, after what stands there."""
-        while self.leads and name not in self.roster():
-            value = self._record.machine.values.get(ROSTER)
-            after = value.index if value else 0
-            await self._offer(put(ROSTER, orjson.dumps(sorted([*self.roster(), name])), after))
+        def change(rolls: dict) -> bool:
+            if name in rolls["stores"]:
+                return False
+            rolls["stores"] = sorted([*rolls["stores"], name])
+            return True
+
+        await self._enter(change)
+        self.council.struck(name)
+
+    async def _strike(self, name: str) -> None:
+        """Off the rolls; one that was to be emptied is, once it votes no more either."""
+
+        def change(rolls: dict) -> bool:
+            if name not in rolls["stores"]:
+                return False
+            rolls["stores"].remove(name)
+            for node in [node for node, host in rolls["retiring"].items() if host == name]:
+                rolls["retired"][node] = rolls["retiring"].pop(node)
+            return True
+
+        voters = self._record.settled_voters()
+        if voters is not None and name not in voters:
+            await self._enter(change)
+        else:
+            await asyncio.sleep(0.1)
+        self.council.struck(name)
 
     def join(self, link: Link, head: dict) -> None:
         if not self.leads or head["least"] > self.council.term:
@@ -236,7 +294,7 @@
             return
         name = link.peer
         self._lines[name] = link
-        link.answer(head, {"ok": True, "term": self.council.term})
+        link.answer(head, {"ok": True, "term": self.council.term, "voters": self._record.settled_voters()})
         self._council(self.council.joined(self.now(), name, head))
 
     def renew(self, link: Link, head: dict) -> None:
@@ -250,6 +308,13 @@
             hint = self._record.leader if self._record is not None else ""
             link.answer(head, {"ok": False, "leader": hint if hint != self.me else ""})
 
+    def joined(self, word: dict) -> None:
+        """This process has joined a leader, who says who votes."""
+        voters = word.get("voters")
+        record = self._record
+        if voters is not None and self.me in record.voters() and voters.get(self.me) != record.id:
+            self._do(record.outvoted(self.now()))
+
     def ack(self, link: Link, head: dict) -> None:
         if self.leads and self._lines.get(link.peer) is link and head["term"] == self.council.term:
             self._council(self.council.acked(self.now(), link.peer, link.birth, head["n"]))
@@ -304,7 +369,7 @@
             return Answer(400, orjson.dumps({"reason": f"heartbeat: {problem!r}"}))
         number, effects = self.council.beat(self.now(), said)
         self._council(effects)
-        if number and said["phase"] == "draining" and not await self._applied(number, ("store",)):
+        if number and said["phase"] == "draining" and not await self._known(number):
             return Answer(503, b'{"reason":"not known to all yet"}')
         if not self.leads:
             return Answer(503, b'{"reason":"leads no more"}')
@@ -314,10 +379,17 @@
     async def _leave(self, request: Request, id: str) -> Answer:
         number, effects = self.council.left(self.now(), id)
         self._council(effects)
-        if number and not await self._applied(number, ("store",)):
+        if number and not await self._known(number):
             return Answer(503, b'{"reason":"not known to all yet"}')
         return Answer(200, b"{}")
 
+    async def _known(self, number: int) -> bool:
+        """Whether all stores know, and this process leads: one that woke from a freeze has nobody to tell."""
+        if not await self._applied(number, ("store",)):
+            return False
+        barrier = await self._offer(None)
+        return barrier is not None and barrier[0] and self.leads
+
     async def _replace(self, request: Request) -> Answer:
         return await self._order("replace", request)
 
@@ -355,11 +427,43 @@
             return Answer(404, b'{"reason":"there is no configuration yet"}')
         return Answer(200, orjson.dumps(self.state.doc))
 
-    def _retire(self, request: Request, node: str) -> Answer:
-        return Answer(404, b'{"reason":"no such machine"}')
+    async def _retire(self, request: Request, node: str) -> Answer:
+        """A store is to be emptied: it keeps nothing that counts, owns nothing, votes no more."""
+        barrier = await self._offer(None)
+        if barrier is None or not barrier[0] or not self.leads:
+            return Answer(503, b'{"reason":"the core does not agree now"}', (("Retry-After", "1"),))
+        if node in self.rolls["retiring"] or node in self.rolls["retired"]:
+            return Answer(200, orjson.dumps(self._phase(node)))
+        host = next((name for name, hut in self.council.view.huts.items() if hut.node == node), "")
+        if not host or host not in self.rolls["stores"]:
+            return Answer(404, b'{"reason":"no such store"}')
+        retiring = set(self.rolls["retiring"].values())
+        left = [name for name in self.council.view.huts if name not in retiring and name != host]
+        if len(left) < 2 * self._losses + 1:
+            return Answer(409, orjson.dumps({"reason": f"{len(left)} would be left"}))
+
+        def change(rolls: dict) -> bool:
+            if node in rolls["retiring"] or node in rolls["retired"]:
+                return False
+            rolls["retiring"][node] = host
+            return True
+
+        if not await self._enter(change):
+            return Answer(504, b'{"reason":"not known whether it is begun"}')
+        self._log.say("retire", store=node)
+        return Answer(200, orjson.dumps(self._phase(node)))
+
+    async def _retired(self, request: Request, node: str) -> Answer:
+        barrier = await self._offer(None)
+        if barrier is None or not barrier[0]:
+            return Answer(503, b'{"reason":"the core does not agree now"}', (("Retry-After", "1"),))
+        phase = self._phase(node)
+        return Answer(200, orjson.dumps(phase)) if phase else Answer(404, b'{"reason":"not being emptied"}')
 
-    def _retired(self, request: Request, node: str) -> Answer:
-        return Answer(404, b'{"reason":"no such machine"}')
+    def _phase(self, node: str) -> dict:
+        if node in self.rolls["retired"]:
+            return {"phase": "complete"}
+        return {"phase": "rolling"} if node in self.rolls["retiring"] else {}
 
 
 Handler = Callable[[Link, dict, bytes], None]
--- a/sableford/leconte/member.py
+++ b/sableford/leconte/member.py
@@ -37,6 +37,7 @@
         self.on_config: list[Callable] = []
         self.on_worker: list[Callable] = []
         self.on_lease: list[Callable] = []
+        self.on_joined: list[Callable] = []
         self._hint = ""
         self._line: Link | None = None
         self._loop = asyncio.get_running_loop()
@@ -78,6 +79,8 @@
             if word is not None and word.get("ok"):
                 self._line, self.leader = link, name
                 self._extend(sent)
+                for tell in self.on_joined:
+                    tell(word)
                 self._log.say("joined", leader=name, term=word["term"])
                 return
             self._hint = (word or {}).get("leader") or ""
--- a/sableford/leconte/view.py
+++ b/sableford/leconte/view.py
@@ -22,6 +22,7 @@
     control: str = ""
     leaving: bool = False
     whole: bool = True
+    retiring: bool = False  # what it holds counts no more
 
 
 class View(msgspec.Struct):
--- a/sableford/margherita/hut.py
+++ b/sableford/margherita/hut.py
@@ -61,15 +61,7 @@
         self.choice = Choice(settings.zone, settings.node_name)
         self.courier = Courier()
         self.queue: Queue | None = None
-        self.lodge = Lodge(
-            life.me,
-            sorted(settings.seeds),
-            life.ways,
-            self.disk,
-            settings.heartbeat_ms,
-            life.log,
-            life.member,
-        )
+        self.lodge = Lodge(life, self.disk)
         self.bounds = Bounds()
         self.bounds.body = 1_048_576
         self.door = Door(self.lodge.handle, self.bounds)
@@ -107,6 +99,7 @@
         self.member.on_config.append(self._config)
         self.member.on_worker.append(self._worker)
         self.member.on_lease.append(self._lease)
+        self.member.on_joined.append(self.lodge.joined)
         self.ways.up.append(self._up)
         await life.listen()
         self.lodge.start(self._folder)
@@ -151,6 +144,8 @@
             message.synced = True
             self.queue.held[message.ref] = message
         self._folder = Folder(self.disk.load(b"r"))
+        if self._folder.fresh:
+            self.disk.write(self._folder.begin(sorted(settings.seeds) if settings.bootstrap else ()))
         self.log.say(
             "folder",
             whole=self._whole,
@@ -192,7 +187,8 @@
         self._do(self.queue.repair(self.life.now()))
         if old := self.queue.age(time.time() * 1000.0):
             self.disk.write([(kind + ref.encode(), None) for ref in old for kind in (b"e", b"m")])
-        self.life.said = {"whole": self.queue.whole, "audits": self.queue.audits()}
+        safe = list(self.queue.view.number) if self.queue.safe() else [0, 0]
+        self.life.said = {"whole": self.queue.whole, "audits": self.queue.audits(), "safe": safe}
         if self.queue.whole and not self._marked:
             self._marked = True
             self.disk.write([(NODE, b"whole")])
--- a/sableford/margherita/queue.py
+++ b/sableford/margherita/queue.py
@@ -128,10 +128,11 @@
     def _spread_end(self, now: float, message: Message) -> None:
         """To all who hold the message, and to as many as may be lost."""
         to = {name for name in message.held if name in self.view.huts} - message.end_held
-        if len(to) + len(message.end_held - {self.me}) < self.losses:
-            to |= set(
-                [name for name in self._backups(message.shard) if name not in message.end_held][: self.losses]
-            )
+        # After some asking in vain one more: a disk, the own one too, may be slow to answer.
+        want = self.losses + (message.asked >= 3) - len(message.end_held - {self.me}) - len(to)
+        if want > 0:
+            rest = [name for name in self._backups(message.shard) if name not in message.end_held | to]
+            to |= set(rest[:want])
         message.asked += 1
         for name in sorted(to):
             self._say(TellEnd(name, message.ref, message.shard, message.end))
@@ -145,9 +146,7 @@
         return self._done()
 
     def _check_end(self, now: float, message: Message) -> None:
-        if message.state is not State.ENDING or self.me not in message.end_held:
-            return
-        if len(message.end_held) <= self.losses:
+        if message.state is not State.ENDING or len(message.end_held) <= self.losses:
             return
         self._forget(now, message)
         self._pump(now)
--- a/sableford/margherita/table.py
+++ b/sableford/margherita/table.py
@@ -70,7 +70,15 @@
         return self.view.huts.keys() - {self.me}
 
     def _safe(self, message: Message) -> bool:
-        return message.synced and len(message.held) >= self.losses
+        """On as many disks as still leave one whole copy after what must be borne."""
+        return self._copies(message) > self.losses
+
+    def _copies(self, message: Message) -> int:
+        """On how many disks that count it is: not on one that is being emptied."""
+        huts = self.view.huts
+        others = sum(name in huts and not huts[name].retiring for name in message.held)
+        own = self.me in huts and huts[self.me].retiring
+        return others + (message.synced and not own)
 
     def _route(self, message: Message) -> Route | None:
         return self.table.find(message.head["host"], message.head["target"].partition("?")[0])
--- a/sableford/margherita/takeover.py
+++ b/sableford/margherita/takeover.py
@@ -240,13 +240,17 @@
         birth, done = self._compared.get(store, ("", set()))
         self._compared[store] = (hut.birth, (done if birth == hut.birth else set()) | shards)
 
+    def safe(self) -> bool:
+        """Whether all messages of the own shards have their copies, by the view that is in force."""
+        return not self.collects and not any(
+            one.shard in self.owned and one.state is not State.TAKING and not self._safe(one)
+            for one in self.held.values()
+        )
+
     def audits(self) -> dict[str, str]:
         """Stores whose folders agree with what is owned here, by their births; none while a message lacks
         copies."""
-        if self.collects or any(
-            one.shard in self.owned and one.state is not State.TAKING and not self._safe(one)
-            for one in self.held.values()
-        ):
+        if not self.safe():
             return {}
         return {
             name: birth
--- a/sableford/margherita/taking.py
+++ b/sableford/margherita/taking.py
@@ -49,6 +49,7 @@
         message = Message(kept, body, born + head["delay"], born)
         message.state = State.TAKING
         message.waiters.append(waiter)
+        message.kept_at = now
         self.held[message.ref] = message
         self._taking[message.ref] = None
         self._join_key(message)
@@ -57,7 +58,9 @@
 
     def _copy(self, now: float, message: Message) -> None:
         """To as many further stores as it takes."""
-        want = self.losses - len(message.held)
+        # A disk that does not answer in time is passed over like a store that does not.
+        own = message.synced or now - message.kept_at < COPY_AGAIN
+        want = self.losses + 1 - self._copies(message) - (own and not message.synced)
         under_way = [
             name
             for name, at in message.copied_at.items()
@@ -88,6 +91,7 @@
         return sorted(
             turned,
             key=lambda name: (
+                huts[name].retiring,
                 name in self.quiet,
                 huts[name].leaving,
                 not huts[name].whole,
@@ -101,8 +105,7 @@
         if message is None:
             return self._done()
         if problem:
-            if what == "m" and message.state is State.TAKING and not message.held:
-                self._untake(now, message, {"full": problem})
+            message.kept_at = -1e12  # other disks must do
             return self._done()
         if what == "m":
             message.synced = True
@@ -112,13 +115,6 @@
             self._check_end(now, message)
         return self._done()
 
-    def _untake(self, now: float, message: Message, word: dict) -> None:
-        """It never was accepted and never runs: nobody else has been found to hold it."""
-        for waiter in message.waiters:
-            self._say(Reply(waiter, word | {"may": bool(message.copied_at)}))
-        self._forget(now, message)
-        self._say(Keep("d", message.ref))
-
     def copied(self, now: float, ref: str, store: str, yes: bool) -> list[Effect]:
         """Another store has a copy on its disk, or has not."""
         message = self.held.get(ref)
--- a/sableford/margherita/walk.py
+++ b/sableford/margherita/walk.py
@@ -15,7 +15,7 @@
 
 from sableford.altavia.routes import Table
 from sableford.altavia.verdict import Ran, Verdict
-from sableford.leconte.council import RENEW, Council, Done, News, Register, Worker
+from sableford.leconte.council import RENEW, Council, Done, News, Register, Strike, Worker
 from sableford.leconte.view import View, shard_of
 from sableford.margherita import words
 from sableford.margherita.choice import Choice, Line
@@ -216,6 +216,7 @@
             return
         said = {"birth": birth, "role": "store", "zone": store.zone, "node": name, "leaving": store.leaving}
         said |= {"whole": store.queue.whole, "audits": store.queue.audits()}
+        said["safe"] = list(store.queue.view.number) if store.queue.safe() else [0, 0]
         said["view"] = msgspec.to_builtins(store.queue.view)
         sent, term = self.now, self.term
         if store.joined and store.term == term:
@@ -250,13 +251,16 @@
                 case News(to, word):
                     self.later(self._way(), self._news, to, self.stores[to].birth, word, self.term)
                 case Register(name):
-                    self.later(8.0, self._enrol, name)
+                    self.later(8.0, self._enrol, name, True)
+                case Strike(name):
+                    self.later(8.0, self._enrol, name, False)
                 case Done():
                     pass
 
-    def _enrol(self, name: str) -> None:
-        self.roster = sorted({*self.roster, name})
+    def _enrol(self, name: str, stands: bool) -> None:
+        self.roster = sorted({*self.roster, name} if stands else {*self.roster} - {name})
         if self.core_up:
+            self.council.struck(name)
             self._council(self.council.enrol(self.now, self.roster))
 
     def _news(self, name: str, birth: str, word: dict, term: int) -> None:
--- a/sableford/margherita/words.py
+++ b/sableford/margherita/words.py
@@ -38,6 +38,7 @@
         "end_held",
         "head",
         "held",
+        "kept_at",
         "key",
         "pauses",
         "place",
@@ -61,6 +62,7 @@
         self.state = State.COPY
         self.synced = False  # on the own disk
         self.held: set[str] = set()  # other stores that have it on theirs
+        self.kept_at = -1e12  # given to the own disk
         self.copied_at: dict[str, float] = {}  # asked to take it, and when
         self.waiters: list = []
         self.pauses = 0
