Compare and fill stores again until they have answered

Change: comparing and telling ends is repeated until answered; lines in walks take up to 600 ms after a start.

--- a/sableford/margherita/hut.py
+++ b/sableford/margherita/hut.py
@@ -280,7 +280,7 @@
                 got = ({}, b"")
             if not got[0].get("yes"):
                 await asyncio.sleep(SLOW / 1000.0)
-                self.queue.filled(to, False)
+                self.queue.filled(to, False)  # said again with the next repair
                 return
             await asyncio.sleep(FILL_MS / 1000.0)
         self.queue.filled(to, True)
--- a/sableford/margherita/queue.py
+++ b/sableford/margherita/queue.py
@@ -219,6 +219,7 @@
     def repair(self, now: float) -> list[Effect]:
         """What is still short or untold, now and then."""
         self._send_late(now)
+        self._compare_again()
         for message in self.held.values():
             own = message.shard in self.owned and message.state not in (State.TAKING, State.ENDING)
             if own and not self._safe(message):
--- a/sableford/margherita/takeover.py
+++ b/sableford/margherita/takeover.py
@@ -64,6 +64,7 @@
         for name in sorted(new & self._others()):
             self._compare(name)
             if view.huts[name].empty and self.ends:
+                self._filling[name] = view.huts[name].birth
                 self._say(Fill(name, sorted(self.ends)))
         if self.me in view.huts and view.huts[self.me].retiring and not self._handing:
             # Its ends are to be on as many other disks as any.
@@ -214,17 +215,27 @@
                 self._effects = self.put(now, head, body, waiter)  # it gives all so far
         self._pump(now)
 
+    def _compare_again(self) -> None:
+        """Stores of which it is not known yet what they hold of the own shards."""
+        for name in sorted(self._others()):
+            birth, done = self._compared.get(name, ("", set()))
+            if birth != self.view.huts[name].birth or not self.owned.keys() <= done:
+                self._compare(name)
+
     def _compare(self, name: str) -> None:
         shards = sorted(self.owned)
-        if shards:
+        if shards and name not in self._comparing:
             self._comparing[name] = {at: self.owned[at] for at in shards}
             self._say(Pull(name, 0, shards, [], False))
 
     def _compared_by(self, now: float, store: str, number: int, word: dict | None) -> list[Effect]:
-        if number != 0 or word is None or store not in self.view.huts:
+        if number != 0:
+            return self._done()
+        asked = self._comparing.pop(store, {})
+        if word is None or store not in self.view.huts:
             return self._done()
         # Of a shard that has changed hands since it was asked about, what is unknown here is the new owner's.
-        still = {at for at, epoch in self._comparing.pop(store, {}).items() if self.owned.get(at) == epoch}
+        still = {at for at, epoch in asked.items() if self.owned.get(at) == epoch}
         for ref in sorted(word["refs"]):
             if shard_in(ref) not in still:
                 continue
@@ -256,8 +267,13 @@
         """Another store has the ends that it was told on disk, or is told again later."""
         if yes:
             self._handing.discard(store)
-        elif store in self._handing:
+            self._filling.pop(store, None)
+            return
+        hut = self.view.huts.get(store)
+        if hut is not None and (store in self._handing or self._filling.get(store) == hut.birth):
             self._say(Fill(store, sorted(self.ends)))
+        else:
+            self._handing.discard(store)
 
     def audits(self) -> dict[str, str]:
         """Stores whose folders agree with what is owned here, by their births; none while a message lacks
--- a/sableford/margherita/walk.py
+++ b/sableford/margherita/walk.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush
 from random import Random
 from typing import Any, NamedTuple
+from zlib import crc32
 
 import msgspec
 
@@ -59,7 +60,7 @@
         self.queue: Queue | None = None
         self.choice: Choice | None = None
         self.view_number, self.term, self.joined, self.leaving = 0, 0, False, False
-        self.lease_sent = 0.0
+        self.up_at = 0.0
 
 
 class Walk:
@@ -121,6 +122,8 @@
         """A word to another store: in order, or lost with the line."""
         if not self._reach(sender, to) or not self.stores[to].alive:
             return False
+        if self.now < self.stores[to].up_at + crc32(f"{sender}{to}{self.seed}".encode()) % 600:
+            return False  # its line is not dialled yet
         self.later(self._way(), self._arrive, sender, to, self.stores[to].birth, do, given)
         return True
 
@@ -166,7 +169,7 @@
         store = self.stores[name]
         store.alive, store.leaving, store.joined = True, False, False
         self.dark.discard(name)
-        store.birth = f"{name}.{next(self._count)}"
+        store.birth, store.up_at = f"{name}.{next(self._count)}", self.now
         store.choice = Choice(store.zone, store.birth)
         whole, store.empty = store.mark == "whole" or (bootstrap and not store.mark), not store.kept
         store.mark = "whole" if whole else "lost"
@@ -376,18 +379,14 @@
                         name,
                         to,
                         lambda other, reply, ends=ends: self._filled(other, ends, reply),
-                        lambda got, to=to: store.queue.filled(to, bool(got)),
+                        lambda got, to=to: self._after_fill(store, to, bool(got)),
                     )
                 case words.Pull(to, number, shards, have, parts):
                     self._ask(
                         name,
                         to,
-                        lambda other, reply, call=(name, shards, have, parts): self._pull(
-                            other, *call, reply
-                        ),
-                        lambda got, to=to, number=number: self.act(
-                            store, store.queue.pulled(self.now, to, number, got)
-                        ),
+                        lambda other, reply, call=(shards, have, parts): self._pull(other, *call, reply),
+                        lambda got, to=to, number=number: self._pulled(store, to, number, got),
                     )
                 case words.Settle(to, number, refs):
                     self._ask(
@@ -488,6 +487,14 @@
 
         self.later(self.draw.uniform(*SYNC), kept)
 
+    def _after_fill(self, store: _Store, to: str, yes: bool) -> None:
+        store.queue.filled(to, yes)
+        self.later(500.0, self._repair, store, store.birth)
+
+    def _repair(self, store: _Store, birth: str) -> None:
+        if self._up(store.name, birth):
+            self.act(store, store.queue.repair(self.now))
+
     def _filled(self, store: _Store, ends: dict[str, End], reply: Callable) -> None:
         for ref, end in ends.items():
             self.act(store, store.queue.end_told(self.now, ref, end))
@@ -498,20 +505,17 @@
         if store.queue.dropped(self.now, ref, epoch):
             store.kept.pop(("m", ref), None)
 
-    def _pull(
-        self, store: _Store, sender: str, shards: list, have: list, parts: bool, reply: Callable
-    ) -> None:
+    def _pull(self, store: _Store, shards: list, have: list, parts: bool, reply: Callable) -> None:
+        """The messages come down the same line, before the answer."""
         word, messages = store.queue.pulled_by(self.now, shards, have, parts)
-        for message in messages:
-            head = message.head | message.times(self.now)
-            body = message.body or store.kept["m", message.ref][1]
-            self._to(
-                store.name,
-                sender,
-                lambda other, head=head, body=body: self.act(other, other.queue.part(self.now, head, body)),
-            )
-        # Behind its parts on the same line.
-        self.later(WAY[1] + 0.1, reply, word | {"shards": shards})
+        sent = [(one.head | one.times(self.now), one.body or store.kept["m", one.ref][1]) for one in messages]
+        reply((word, sent))
+
+    def _pulled(self, store: _Store, to: str, number: int, got: tuple | None) -> None:
+        word, sent = got or (None, [])
+        for head, body in sent:
+            self.act(store, store.queue.part(self.now, head, body))
+        self.act(store, store.queue.pulled(self.now, to, number, word))
 
     def _late(
         self, store: _Store, sender: str, ref: str, shard: int, verdict: Verdict, reply: Callable
