--- a/sableford/leconte/council.py
+++ b/sableford/leconte/council.py
@@ -18,8 +18,10 @@
 
 from sableford.leconte.view import SHARDS, Hut, Number, View, shares
 
-LEASE = 1500.0  # ms: longer than an election takes, so that a new leader finds leases running
-RENEW = 250.0  # ms between renewals: five in a lease may be lost
+LEASE = (
+    1000.0  # ms: some longer than most elections, and what is put to a silent store waits for it to run out
+)
+RENEW = 200.0  # ms between renewals: four in a lease may be lost
 STRAY = 1000.0  # ms that a leader cut off may go on granting leases (the record's)
 APPLIED = 600.0  # ms that an acknowledgement to the outside waits for members to apply what it is about
 ABSENT = 2000.0  # ms a store may be away before the others do without it; should it return, it is compared
--- a/sableford/margherita/walk.py
+++ b/sableford/margherita/walk.py
@@ -16,7 +16,7 @@
 
 from sableford.altavia.routes import Table
 from sableford.altavia.verdict import Ran, Verdict
-from sableford.leconte.council import RENEW, Council, Done, News, Register, Strike, Worker
+from sableford.leconte.council import LEASE, RENEW, Council, Done, News, Register, Strike, Worker
 from sableford.leconte.view import View, shard_of
 from sableford.margherita import words
 from sableford.margherita.choice import Choice, Line
@@ -212,7 +212,7 @@
             if self.draw.random() < 0.03:
                 self.act(store, store.queue.repair(self.now))
             if store.leaving and not store.queue.busy():
-                self.end(name)
+                self._killed(name, birth)
 
     # The core
 
@@ -253,7 +253,7 @@
     def _extend(self, name: str, birth: str, sent: float) -> None:
         if self._up(name, birth) and self.stores[name].frozen <= self.now:
             queue = self.stores[name].queue
-            queue.lease = max(queue.lease, sent + 1500.0)
+            queue.lease = max(queue.lease, sent + LEASE)
 
     def _council(self, effects: list) -> None:
         for effect in effects:
@@ -736,7 +736,6 @@
             case "term":
                 store.leaving = True
                 self.later(5000.0, self._killed, name, store.birth)
-                self.later(5600.0, self.start, name)
             case "core":
                 self.core(False)
                 self.later(down * 0.5, self.core, True)
@@ -744,6 +743,7 @@
     def _killed(self, name: str, birth: str) -> None:
         if self._up(name, birth):
             self.end(name)
+            self.later(800.0, self.start, name)
 
     def play(self) -> "Walk":
         """The whole walk. Raises Wrong."""
--- a/sableford/sapienza/gate.py
+++ b/sableford/sapienza/gate.py
@@ -19,9 +19,9 @@
 ASK_MS = 700.0  # for an owner to answer a put; it may have it then, or not
 LOOK_MS = 25.0  # between two looks for an owner while there is none
 SPARE_MS = 120.0  # before the client gives up, for the answer to reach it
-PATIENCE_MS = (
-    1300.0  # for a shard to find another owner, where the client says nothing: a lease and a taking over
-)
+PATIENCE_MS = 1300.0  # for a shard's new owner to say whether it was taken: a lease and a taking over
+HOLD_MS = 600.0  # for a store that takes it, before it was sent to any; then its client may as well ask anew
+HOLD_PART = 0.4  # of the time its client waits, at most
 STATUS_MS = 1700.0  # those who ask for a state wait two seconds
 STALE_MS = 3000.0  # without a lease for so long, the configuration may be an old one
 LEAVE_MS = 2300.0  # after SIGTERM: two missed looks at whether it is ready
@@ -127,6 +127,7 @@
         key = (request.get(b"order-key") or "") if route.fifo else ""
         shard = shard_of(key) if key else self._pick()
         until = now + max(200.0, min(limit, route.deadline_ms, PATIENCE_MS) - SPARE_MS)
+        hold = min(until, now + min(HOLD_MS, limit * HOLD_PART))
         head = {
             "op": "put",
             "id": id,
@@ -153,7 +154,7 @@
                         return Answer(202, b"", (("Message-Ref", head["ref"]),))
                     elif "full" in got:
                         return _refusal("the stores are full")
-            if self.life.now() >= until:
+            if self.life.now() >= (until if head["again"] else hold):
                 break
             if not key and not head["again"]:
                 shard = self._pick()
@@ -164,7 +165,7 @@
                 pass
         if head["again"]:
             return Answer(504, b'{"reason":"not known whether it was taken"}')
-        return _refusal("no store could take it")
+        return _refusal("no store could take it", 0)
 
     def _pick(self) -> int:
         """A shard for what has no key: of a store in the own zone, one after the other."""
@@ -244,6 +245,6 @@
     return ref_of(shard, id if NAME.fullmatch(id) else sha1(id.encode()).hexdigest())
 
 
-def _refusal(why: str) -> Answer:
+def _refusal(why: str, after_s: int = 1) -> Answer:
     """Not taken, and never run: when to come back."""
-    return Answer(503, orjson.dumps({"reason": why}), (("Retry-After", "1"),))
+    return Answer(503, orjson.dumps({"reason": why}), (("Retry-After", str(after_s)),))
