Let a store that was struck off as it came back let go of its shards first

Cause: walk 78 (FENCE): a store killed for two seconds came back while the entry that strikes it off was on its way; the next view left it out, and its shards were given on while it acted on them. Change: whoever is a member is asked to let go, whether it stands in the record or not; it is entered again at once; the entry is dropped where the store has come back.

--- a/sableford/leconte/council.py
+++ b/sableford/leconte/council.py
@@ -169,9 +169,18 @@
         self._proposed &= set(roster)
         if not self.leads:
             return []
+        out: list[Effect] = []
         for name, member in self.members.items():
             member.registered = name in roster
-        return self._steer(now)
+            out += self._enter(name, member)
+        return out + self._steer(now)
+
+    def _enter(self, name: str, member: Member) -> list[Effect]:
+        """A store that is here and does not stand in the record is to."""
+        if member.role != "store" or member.registered or name in self._proposed | self.retired:
+            return []
+        self._proposed.add(name)
+        return [Register(name)]
 
     # Members
 
@@ -201,9 +210,7 @@
             seen = msgspec.convert(held, View)
             if self._best is None or seen.number > self._best.number:
                 self._best = seen
-        if member.role == "store" and not member.registered and name not in self._proposed | self.retired:
-            self._proposed.add(name)
-            out.append(Register(name))
+        out += self._enter(name, member)
         member.sent = self.number
         out.append(News(name, self._snapshot(member)))
         out.append(Said("member_joined", {"member": member.node, "birth": member.birth, "role": member.role}))
@@ -291,6 +298,10 @@
         """The record has it, or not; it is proposed again where it must be."""
         self._proposed.discard(name)
 
+    def needless(self, name: str) -> bool:
+        """Whether the store is to be struck no more: it has come back."""
+        return name in self.members and name not in self.retiring
+
     # Waiting for what members have applied
 
     def wait(self, now: float, number: int, roles: tuple[str, ...]) -> tuple[int, list[Effect]]:
@@ -354,7 +365,9 @@
                 return []
             self._warm = True
             self._adopt()
-        stores = {name: one for name, one in self.members.items() if one.role == "store" and one.registered}
+        # One that was struck off just as it came back may act on a shard still: it is asked to let go first.
+        lives = {name: one for name, one in self.members.items() if one.role == "store"}
+        stores = {name: one for name, one in lives.items() if one.registered}
         view = self.view
         owners, births, epochs = list(view.owners), list(view.births), list(view.epochs)
         able = sorted(
@@ -368,7 +381,7 @@
         for at in range(SHARDS):
             owner, want = owners[at], target[at]
             if owner:
-                live = owner in stores and stores[owner].birth == births[at]
+                live = owner in lives and lives[owner].birth == births[at]
                 if live and owner == want:
                     continue
                 owners[at] = births[at] = ""
@@ -376,7 +389,7 @@
                 if live:
                     self._holders[at] = owner, self.number + 1
                     continue
-            if self._held(at, stores) or not want:
+            if self._held(at, lives) or not want:
                 continue
             self._holders.pop(at, None)
             owners[at], births[at], epochs[at] = want, stores[want].birth, number
@@ -409,14 +422,14 @@
         self._holders = {at: ("", self.number + 1) for at, owner in enumerate(best.owners) if not owner}
         self.view = best
 
-    def _held(self, at: int, stores: dict[str, Member]) -> bool:
+    def _held(self, at: int, lives: dict[str, Member]) -> bool:
         """Whether someone may still act on a shard that is nobody's by the last view."""
         if at not in self._holders:
             return False
         name, number = self._holders[at]
         if name:
-            return name in stores and stores[name].acked < number
-        return any(one.acked < number for one in stores.values())
+            return name in lives and lives[name].acked < number
+        return any(one.acked < number for one in lives.values())
 
     def _is_whole(self, name: str) -> bool:
         """A store whose folder was lost counts once every owner has compared it and has its own messages
--- a/sableford/leconte/lodge.py
+++ b/sableford/leconte/lodge.py
@@ -269,12 +269,13 @@
 
         await self._enter(change)
         self.council.struck(name)
+        self._enrol(self.now())
 
     async def _strike(self, name: str) -> None:
         """Off the rolls; one that was to be emptied is, once it votes no more either."""
 
         def change(rolls: dict) -> bool:
-            if name not in rolls["stores"]:
+            if name not in rolls["stores"] or self.council.needless(name):
                 return False
             rolls["stores"].remove(name)
             for node in [node for node, host in rolls["retiring"].items() if host == name]:
@@ -287,6 +288,7 @@
         else:
             await asyncio.sleep(0.1)
         self.council.struck(name)
+        self._enrol(self.now())
 
     def join(self, link: Link, head: dict) -> None:
         if not self.leads or head["least"] > self.council.term:
--- a/sableford/margherita/walk.py
+++ b/sableford/margherita/walk.py
@@ -268,8 +268,8 @@
                     pass
 
     def _enrol(self, name: str, stands: bool) -> None:
-        self.roster = sorted({*self.roster, name} if stands else {*self.roster} - {name})
         council = self.council
+        self.roster = sorted({*self.roster, name} if stands else {*self.roster} - {name})
         if not stands and name in council.retiring:  # emptied: it is taken away at once, with its disk
             council.retiring.discard(name)
             council.retired.add(name)
