--- a/sableford/margherita/queue.py
+++ b/sableford/margherita/queue.py
@@ -23,6 +23,7 @@
 PAUSE = 15.0  # ms before a delivery that did not run is tried again, doubling
 PAUSE_MOST = 400.0
 RETRY = 20.0  # ms before one that failed is tried again, doubling
+LATE_AGAIN = 80.0  # ms before the owner is told again how a delivery of the one before it has ended
 GRACE_S = 30.0  # ends are kept longer than they are asked for by this
 
 
@@ -50,6 +51,7 @@
         return self._done()
 
     def _send_late(self, now: float) -> None:
+        self._late_at = now
         for ref, verdict in list(self._late.items()):
             shard = self.out.get(ref, 0)
             owner = self.view.owners[shard]
@@ -175,7 +177,7 @@
             if message is None or message.shard not in self.owned:
                 continue
             if message.state is State.AWAY and message.at <= now:
-                self._back(now, message, 0.0)
+                self._miss(now, message)
             else:
                 self._line_up(now, message)
         for ref in list(self._taking):
@@ -189,6 +191,8 @@
                 self._spread_end(now, message)
         for ref in [ref for ref, (_, until, _) in self._seeks.items() if now > until]:
             self._found(now, ref)
+        if self._late and now - self._late_at > LATE_AGAIN:
+            self._send_late(now)
         for collect in self._rounds_open():
             self._ask(now, collect, set())
         self._pump(now)
--- a/sableford/margherita/table.py
+++ b/sableford/margherita/table.py
@@ -48,6 +48,7 @@
         self._ending: dict[str, None] = {}
         self._seeks: dict[str, tuple[set[str], float, list]] = {}
         self._seen_huts: dict[str, str] = {}
+        self._late_at = 0.0
         self._filling: dict[str, str] = {}  # stores that began empty and are being told all ends, by birth
         self._handing: set[str] = set()  # stores that are being told all ends, since this one is emptied
         self._comparing: dict[str, dict[int, Number]] = {}
--- a/sableford/margherita/taking.py
+++ b/sableford/margherita/taking.py
@@ -4,12 +4,11 @@
 from typing import Any
 
 from sableford.leconte.view import Number
-from sableford.margherita.turns import Turns
+from sableford.margherita.turns import SEEK, Turns
 from sableford.margherita.words import Copy, Effect, End, Keep, Message, Reply, Seek, State
 
 COPY_AGAIN = 60.0  # ms for a store to say that it keeps a copy; then another is asked too
 PARKED = 2000  # puts that wait for a shard to be taken over; more are sent back
-SEEK = 250.0  # ms for all to say whether they know one
 
 
 class Taking(Turns):
@@ -186,6 +185,8 @@
 
     def sought(self, now: float, store: str, ref: str, word: dict | None) -> list[Effect]:
         """What another store knows of one that may have come before."""
+        if word is not None and word.get("end") and ref in self.held:
+            return self.end_told(now, ref, End.load(word["end"]))
         if ref not in self._seeks:
             return self._done()
         asked, _, puts = self._seeks[ref]
--- a/sableford/margherita/turns.py
+++ b/sableford/margherita/turns.py
@@ -4,10 +4,11 @@
 from heapq import heappop, heappush
 
 from sableford.margherita.table import Held
-from sableford.margherita.words import Deliver, Message, State
+from sableford.margherita.words import Deliver, Message, Seek, State
 
 LATE_TURN = 8  # one in so many deliveries is of a message past its aim, while others still keep theirs
 NEWER = 30.0  # ms before a message for a route not known yet is looked at again
+SEEK = 250.0  # ms for others to say whether they know one
 AWAY_SLACK = 400.0  # ms past its deadline that the word on a delivery of the owner before may take
 
 
@@ -112,7 +113,16 @@
 
     def _go_away(self, now: float, message: Message) -> None:
         """Out there still, sent by the owner before; its worker stops work at the deadline."""
-        message.state = State.AWAY
+        message.state, message.asked_at = State.AWAY, -1.0
         route = self._route(message)
         message.at = now + (route.deadline_ms if route else 1000.0) + AWAY_SLACK
         heappush(self._delayed, (message.at, next(self._order), message.ref))
+
+    def _miss(self, now: float, message: Message) -> None:
+        """No word of how it ended: the sender is asked once more before it goes again."""
+        if message.asked_at < 0.0 and message.away in self.view.huts:
+            message.asked_at, message.at = now, now + SEEK
+            self._say(Seek(message.away, message.ref))
+            heappush(self._delayed, (message.at, next(self._order), message.ref))
+        else:
+            self._back(now, message, 0.0)
--- a/sableford/margherita/words.py
+++ b/sableford/margherita/words.py
@@ -27,6 +27,7 @@
 
     __slots__ = (
         "asked",
+        "asked_at",
         "at",
         "avoid",
         "away",
@@ -71,6 +72,7 @@
         self.end: End | None = None
         self.end_held: set[str] = set()
         self.asked = 0
+        self.asked_at = -1.0
 
     def times(self, now: float) -> dict[str, float]:
         """For another clock: how long until it is due, and how long ago it was sent first."""
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -13,7 +13,7 @@
 from sableford.altavia.frames import Frames, frame
 from sableford.altavia.http import Answer, Bounds, Door, Reply, Visit
 from sableford.altavia.verdict import Ran
-from sableford.fleet.record.core import Add, Cut, Meta, Whole
+from sableford.fleet.record.core import Add, Cut, Held, Meta, Record, Send, Standing, Store, Whole, put
 from sableford.fleet.record.words import Entry
 from sableford.leconte import book
 from sableford.leconte.folder import Folder
@@ -295,6 +295,73 @@
 # What lies on disk
 
 
+class Voters:
+    """Records whose words and disks take a moment each, in simulated time."""
+
+    def __init__(self, names: str) -> None:
+        self.now, self.deaf = 0.0, set()
+        self.all: dict[str, Record] = {}
+        self.words: list[tuple[str, str, object]] = []
+        for name in names:
+            self.add(name, list(names), False)
+
+    def add(self, name: str, names: list[str], newcomer: bool) -> None:
+        held = Held(f"folder of {name}")
+        self.all[name] = Record(name, 1, names, held, self.now, 7, newcomer=newcomer)
+
+    def run(self, ms: float, until=lambda: False) -> bool:
+        end = self.now + ms
+        while self.now < end and not until():
+            self.now += 5.0
+            words, self.words = self.words, []
+            for sender, to, word in words:
+                if not {sender, to} & self.deaf:
+                    self.do(to, self.all[to].heard(self.now, sender, 1, word))
+            for name, record in self.all.items():
+                record.around = tuple(self.all)
+                if self.now >= record.due and name not in self.deaf:
+                    self.do(name, record.tick(self.now))
+        return until()
+
+    def do(self, name: str, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.words.append((name, effect.to, effect.word))
+            elif isinstance(effect, Store):
+                self.do(name, self.all[name].stored(self.now, effect.number))
+
+    def leader(self) -> Record | None:
+        return next((one for name, one in self.all.items() if one.leads and name not in self.deaf), None)
+
+
+def shows_a_voter_that_is_gone_is_replaced_by_a_newcomer_and_never_votes_again_by_itself() -> None:
+    fleet = Voters("abc")
+    assert fleet.run(
+        3000.0, lambda: fleet.leader() is not None and fleet.leader().settled_voters() is not None
+    )
+    leader = fleet.leader()
+    gone = next(name for name in "abc" if name != leader.name)
+    fleet.deaf.add(gone)
+    fleet.add("d", [leader.name], True)
+    assert not fleet.all["d"].voters().get("d")
+    leader.wanted = tuple(sorted({*"abcd"} - {gone}))
+    assert fleet.run(5000.0, lambda: "d" in (leader.settled_voters() or {}))
+    assert set(leader.settled_voters()) == set(leader.wanted)
+    # Two of the new three agree, with the old one's vote counting for nothing.
+    third = next(name for name in "abc" if name not in (gone, leader.name))
+    assert fleet.run(2000.0, lambda: fleet.all["d"].standing is Standing.SOUND)
+    fleet.deaf = {third}
+    number, effects = leader.offer(fleet.now, put("k", b"v"))
+    fleet.do(leader.name, effects)
+    assert fleet.run(2000.0, lambda: leader.machine.values.get("k") is not None), number
+    fleet.deaf = set()
+    old = fleet.all[gone]
+    fleet.do(gone, old.outvoted(fleet.now))
+    assert old.standing is Standing.STRANGER and old.id != f"folder of {gone}"
+    assert fleet.run(3000.0, lambda: old.machine.values.get("k") is not None)  # it learns, and does not vote
+    assert gone not in leader.settled_voters()
+
+
 def shows_the_record_is_read_back_as_it_was_kept() -> None:
     folder = Folder([])
     found = dict(folder.begin(["a", "b"]))
