Count a store as safe while ends of its messages are under way

Cause: at busy times ends are always under way, so a store seldom said that its messages were safe, and a store that was gone or had come back empty waited for it. Change: only a store that is emptied waits for its ends.

--- a/sableford/margherita/takeover.py
+++ b/sableford/margherita/takeover.py
@@ -258,7 +258,8 @@
 
     def safe(self) -> bool:
         """Whether all messages of the own shards have their copies, by the view that is in force."""
-        return not (self.collects or self._handing or self._ending) and not any(
+        emptied = self._retires(self.me) and (self._handing or self._ending)
+        return not (self.collects or emptied) and not any(
             one.shard in self.owned and one.state is not State.TAKING and not self._safe(one)
             for one in self.held.values()
         )
