Give each answer headers of its own; hold lines to all that the own disk knows of

Change: as the title says; a worker in another zone counts a job more; pings are fewer where links are many.

--- a/sableford/altavia/http.py
+++ b/sableford/altavia/http.py
@@ -313,6 +313,12 @@
             self._end(ConnectionError(f"no answer in the protocol: {problem}"))
             self.drop()
 
+    def on_message_begin(self) -> None:
+        """Each answer has headers of its own; one behind another is nobody's, and spoils the connection."""
+        self._head, self._body = {}, []
+        if self._future is not None and self._future.done():
+            self.closed = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._head[name.lower()] = value
 
--- a/sableford/altavia/links.py
+++ b/sableford/altavia/links.py
@@ -12,6 +12,7 @@
 
 from sableford.altavia.frames import Frames, Garbled, frame
 
+FEW = 8  # links that are looked at so often; with more, less often by as much, so that pings stay few
 BEAT_MS = 100.0  # between two looks at the links: a ping where nothing was heard for so long
 SILENT_MS = 300.0  # without a word: a link counts as quiet, and other ways are taken first
 DEAD_MS = 1600.0  # without a word, or for a dial to succeed: given up and dialled anew
@@ -159,17 +160,21 @@
     def near(self, name: str) -> Link | None:
         """The link to it, if it has spoken lately."""
         link = self.link(name)
-        return link if link is not None and link.silence() < SILENT_MS else None
+        return link if link is not None and link.silence() < SILENT_MS * self._slow() else None
+
+    def _slow(self) -> float:
+        return max(1.0, len(self._ways) / FEW)
 
     def _look(self) -> None:
-        self._timer = self._loop.call_later(BEAT_MS / 1000.0, self._look)
+        beat = BEAT_MS * self._slow()
+        self._timer = self._loop.call_later(beat / 1000.0, self._look)
         for way in list(self._ways.values()):
             if way.link is None:
                 continue
             silence = way.link.silence()
-            if silence >= DEAD_MS:
+            if silence >= max(DEAD_MS, SILENT_MS * self._slow() * 2.0):
                 way.link.drop()
-            elif silence >= BEAT_MS * 0.9:
+            elif silence >= beat * 0.9:
                 way.link.send({"op": "ping"})
         self._dial_due()
 
--- a/sableford/leconte/lodge.py
+++ b/sableford/leconte/lodge.py
@@ -82,6 +82,8 @@
             self.me, self._birth, names, folder.held, self.now(), seed, most=MOST, newcomer=newcomer
         )
         self._take_state()
+        # After a loss of power the seeds may name none of those who vote.
+        self._member.kept = lambda: {*self._record.voters(), *self.rolls["stores"]}
         self._loop.call_soon(self._tick)
 
     # Time
--- a/sableford/leconte/member.py
+++ b/sableford/leconte/member.py
@@ -38,6 +38,7 @@
         self.on_worker: list[Callable] = []
         self.on_lease: list[Callable] = []
         self.on_joined: list[Callable] = []
+        self.kept: Callable[[], set[str]] = set  # others that the own disk knows of
         self._hint = ""
         self._line: Link | None = None
         self._loop = asyncio.get_running_loop()
@@ -57,9 +58,8 @@
             await self._stay()
 
     def _want(self) -> None:
-        self.ways.want(
-            set(self._seeds()) | set(self.view.roster) | set(self.view.huts) | {self.leader} - {""}
-        )
+        told = {*self.view.roster, *self.view.huts, self.leader}
+        self.ways.want({*self._seeds(), *told, *self.kept()} - {""})
 
     async def _find(self) -> None:
         while True:
--- a/sableford/margherita/choice.py
+++ b/sableford/margherita/choice.py
@@ -11,7 +11,7 @@
 
 from sableford.policy.bound import AGE_LIMIT, IMBALANCE, MIX, UNCERTAINTY, breaks, within
 
-CROSSING = 0.25  # jobs added to a worker in another zone: crossing has a price (as in the module)
+CROSSING = 1.0  # jobs added to a worker in another zone: a body that crosses costs 2% of its worth
 SLACK = 0.5  # jobs that a copy may be off before a worker counts as full
 COLD = 0.5  # jobs added to a worker that is cold: it is slower for some seconds
 TRIAL_MS = 250.0  # ms until a worker that gave no sign is tried again, doubling with each failure
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from sableford.altavia.frames import Frames, frame
-from sableford.altavia.http import Answer, Bounds, Door, Reply, Visit
+from sableford.altavia.http import Answer, Bounds, Call, Door, Reply, Visit
 from sableford.altavia.verdict import Ran
 from sableford.fleet.record.core import Add, Cut, Held, Meta, Record, Send, Standing, Store, Whole, put
 from sableford.fleet.record.words import Entry
@@ -222,6 +222,9 @@
     def is_closing(self):
         return self.closed
 
+    def abort(self):
+        self.closed = True
+
     def pause_reading(self): ...
 
     def resume_reading(self): ...
@@ -284,6 +287,25 @@
     assert verdict(421) is Ran.NOT_RUN and verdict(504) is Ran.MAYBE
 
 
+def shows_an_answer_behind_another_lends_it_nothing_and_spoils_its_connection() -> None:
+    """A worker in trouble sent another message's success, then this one's failure, in one go."""
+    other = b"HTTP/1.1 200 OK\r\nAttempt-Id: 6\r\nServer-Seal: s6\r\nContent-Length: 0\r\n\r\n"
+    own = b"HTTP/1.1 500 No\r\nAttempt-Id: 7\r\nContent-Length: 2\r\n\r\nno"
+
+    async def ask(*parts: bytes) -> tuple[Ran, bool]:
+        call, pipe = Call(), Pipe()
+        call.connection_made(pipe)
+        future = call.ask(b"POST")
+        for part in parts:
+            call.data_received(part)
+        return judge(await future, "7").ran, call.usable()
+
+    assert asyncio.run(ask(own)) == (Ran.FAILED, True)
+    assert asyncio.run(ask(other + own)) == (Ran.MAYBE, False)
+    assert asyncio.run(ask(own + other)) == (Ran.FAILED, False)
+    assert asyncio.run(ask(own, other)) == (Ran.FAILED, False)
+
+
 def shows_frames_come_whole_however_they_are_cut() -> None:
     text = frame({"op": "put"}, b"1:x,") + frame({"op": "ping"})
     for at in range(len(text)):
