--- a/sableford/leconte/member.py
+++ b/sableford/leconte/member.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -16,6 +17,7 @@
 from sableford.leconte.view import View
 
 LOOK = 40.0  # ms between two tries to find the leader
+HINTS = 4  # leaders remembered that others have named
 ANSWER = 400.0  # ms for its answer to a renewal; then it is looked for anew
 
 
@@ -40,6 +42,7 @@
         self.on_joined: list[Callable] = []
         self.kept: Callable[[], set[str]] = set  # others that the own disk knows of
         self._hint = ""
+        self._hints: deque[str] = deque(maxlen=HINTS)  # leaders that were named; no seed may be one
         self._line: Link | None = None
         self._loop = asyncio.get_running_loop()
         self._turn = 0
@@ -58,7 +61,7 @@
             await self._stay()
 
     def _want(self) -> None:
-        told = {*self.view.roster, *self.view.huts, self.leader}
+        told = {*self.view.roster, *self.view.huts, self.leader, *self._hints}
         self.ways.want({*self._seeds(), *told, *self.kept()} - {""})
 
     async def _find(self) -> None:
@@ -84,6 +87,8 @@
                 self._log.say("joined", leader=name, term=word["term"])
                 return
             self._hint = (word or {}).get("leader") or ""
+            if self._hint and self._hint not in self._hints:
+                self._hints.append(self._hint)
             if self._hint == name or not self._hint:
                 await asyncio.sleep(LOOK / 1000.0)
 
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -17,6 +17,7 @@
 from sableford.fleet.record.words import Entry
 from sableford.leconte import book
 from sableford.leconte.folder import Folder
+from sableford.leconte.member import Member
 from sableford.leconte.view import SHARDS, shares
 from sableford.margherita.courier import judge
 from sableford.margherita.disk import Disk
@@ -204,6 +205,54 @@
     assert sum(was != now for was, now in zip(fewer, again, strict=True)) == SHARDS // 5
 
 
+# Finding the leader
+
+
+class Silence:
+    """A log that says nothing."""
+
+    def say(self, event, **fields): ...
+
+
+class Lines:
+    """Ways to whoever is wanted, each answering as it is told to."""
+
+    def __init__(self, answers: dict[str, dict]) -> None:
+        self.answers, self.wanted, self.asked = answers, set(), 0
+
+    def want(self, names):
+        self.wanted = names
+
+    def names(self):
+        return sorted(self.wanted)
+
+    def near(self, name):
+        return Line(self, name) if name in self.answers else None
+
+
+class Line:
+    def __init__(self, lines: Lines, name: str) -> None:
+        self.lines, self.name = lines, name
+
+    async def ask(self, word):
+        self.lines.asked += 1
+        assert self.lines.asked < 20, "it goes round in circles"
+        return self.lines.answers[self.name], b""
+
+
+def shows_a_leader_that_no_seed_is_is_found_by_those_who_name_it() -> None:
+    async def find() -> str:
+        passes = {"ok": False, "leader": "10.0.0.9"}
+        lines = Lines({"10.0.0.1": passes, "10.0.0.2": passes, "10.0.0.9": {"ok": True, "term": 3}})
+        member = Member(
+            lines, "10.0.0.5", lambda: {"birth": "b"}, lambda: ["10.0.0.1", "10.0.0.2"], Silence()
+        )
+        await member._find()
+        return member.leader
+
+    assert asyncio.run(find()) == "10.0.0.9"
+
+
 # The doors
 
 
