--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -28,6 +28,9 @@
 )
 from tests.helper import play, play_sockets, scenarios
 
+MODULES = (
+    actors, adapter, command, crowd, fleet, handover, joined, legacy, members, record, rig, trail, upgrade
+)  # fmt: skip
 HUNG = 180.0  # s for one test, three times what a scene of several processes has
 
 
@@ -47,21 +50,7 @@
                 module = importlib.import_module(found.name)
                 if ">>>" in Path(module.__file__).read_text():
                     yield f"examples of {found.name}", lambda module=module: doctested(module)
-    for module in (
-        actors,
-        adapter,
-        command,
-        crowd,
-        fleet,
-        handover,
-        joined,
-        legacy,
-        members,
-        record,
-        rig,
-        trail,
-        upgrade,
-    ):
+    for module in MODULES:
         for name, check in list(vars(module).items()):
             if name.startswith("shows_"):
                 yield f"{module.__name__}: {name[6:].replace('_', ' ')}", check
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -19,6 +19,8 @@
 from sableford.leconte.folder import Folder
 from sableford.leconte.member import Member
 from sableford.leconte.view import SHARDS, shares
+from sableford.margherita.choice import Choice
+from sableford.margherita.choice import Line as WorkerLine
 from sableford.margherita.courier import judge
 from sableford.margherita.disk import Disk
 from sableford.margherita.queue import Queue
@@ -109,6 +111,20 @@
         assert found(make, kinds) in rules, make.__name__
 
 
+# Choosing
+
+
+def shows_a_worker_taken_for_full_by_hearsay_is_asked_after_and_used() -> None:
+    choice = Choice("z", "seed")
+    lines = [WorkerLine(f"w{at}", "b", "10.0.0.1", 80, "z", 2, True) for at in range(2)]
+    choice.put(0.0, lines[0], 0.0)
+    choice.told(0.0, "other", {"w0": 2})
+    choice.put(0.0, lines[1], 0.0)  # begins at the others' mean, which is full
+    assert choice.choose(10.0, "b") is None and "w1" in choice.stale
+    choice.told(20.0, "other", {"w1": 0})
+    assert choice.choose(30.0, "b").line.id == "w1"
+
+
 # The operator's word
 
 
