--- a/sableford/trailhead/cli.py
+++ b/sableford/trailhead/cli.py
@@ -20,14 +20,17 @@
 
     async def run() -> None:
         life = Life(settings, file, role)
-        if role == "store":
-            from sableford.margherita.hut import Hut
+        try:
+            if role == "store":
+                from sableford.margherita.hut import Hut
 
-            await Hut(life).run()
-        else:
-            from sableford.sapienza.gate import Gate
+                await Hut(life).run()
+            else:
+                from sableford.sapienza.gate import Gate
 
-            await Gate(life).run()
+                await Gate(life).run()
+        finally:
+            life.log.close()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(run())
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -2,6 +2,7 @@
 on bytes, verdicts, the folder of a store. Nothing here sleeps, opens a port or needs the bench."""
 
 import asyncio
+import os
 import tempfile
 from pathlib import Path
 
@@ -25,7 +26,9 @@
 from sableford.margherita.disk import Disk
 from sableford.margherita.queue import Queue
 from sableford.margherita.walk import Walk, Wrong
+from sableford.net.log import Aside
 from sableford.trailhead.cli import main
+from sableford.trailhead.log import Log
 from sableford.trailhead.settings import SettingsError, parse
 
 # Walks and planted mistakes
@@ -516,3 +519,17 @@
         assert main(["sapienza", "--settings", str(file)]) == 2  # no address for clients
         assert main(["margherita", "--settings", str(Path(place) / "none")]) == 2
         assert main(["check", str(file)]) == 0
+
+
+def shows_a_log_that_nobody_reads_holds_nobody_up() -> None:
+    reader, writer = os.pipe()
+    log = Log("store-1", Aside(writer))
+    for number in range(300):  # ten times what the pipe holds
+        log.say("order", number=number, why="x" * 2000)
+    text = b""
+    while text.count(b"\n") < 300:
+        text += os.read(reader, 65_536)
+    lines = [orjson.loads(line) for line in text.splitlines()]
+    assert [line["number"] for line in lines] == list(range(300))
+    assert lines[0]["event"] == "order" and lines[0]["node"] == "store-1"
+    log.close()
