--- a/sableford/legacy.py
+++ b/sableford/legacy.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sableford.intake.charter import Charter
-from sableford.logic import Scheduler
+from sableford.policy.scheduler import Scheduler
 
 MOST = 1e9  # of any sum: past it a figure makes no sense
 KIND = ("slots", "size", "held", "heard", "heard_at", "done", "due", "touched")
--- a/sableford/margherita/choice.py
+++ b/sableford/margherita/choice.py
@@ -7,9 +7,8 @@
 """
 
 from typing import NamedTuple
-from zlib import crc32
 
-from sableford.policy.bound import AGE_LIMIT, IMBALANCE, MIX, UNCERTAINTY, breaks, within
+from sableford.policy.bound import AGE_LIMIT, IMBALANCE, UNCERTAINTY, breaks, point, within
 
 CROSSING = 1.0  # jobs added to a worker in another zone: a body that crosses costs 2% of its worth
 SLACK = 0.5  # jobs that a copy may be off before a worker counts as full
@@ -67,7 +66,7 @@
 
     def _chance(self, ends: int) -> int:
         self._draws += 1
-        return crc32(f"{self._seed}:{self._draws}".encode()) * MIX % 2**32 * ends >> 32
+        return point(f"{self._seed}:{self._draws}".encode()) * ends >> 32
 
     # The list
 
--- a/sableford/model/events.py
+++ b/sableford/model/events.py
@@ -21,6 +21,7 @@
     UNFIT = 8  # the worker says that the request itself is at fault
 
 
+UNTOLD = (Ending.CALLED_OFF, Ending.TIMED_OUT)  # the worker has said nothing
 NEVER_RAN = frozenset({Ending.FULL, Ending.NO_CONNECTION, Ending.NOT_SENT})
 
 
@@ -122,6 +123,12 @@
     out: bool
     at: float
 
+    def over(self, told: "Listed") -> "Listed":
+        """What holds of a line of the roster under this."""
+        if not self.out:  # operators restarted it, whatever start the list knows of
+            return told._replace(since=max(told.since, self.at))
+        return told._replace(standing=Standing.DRAINING) if told.standing is Standing.READY else told
+
 
 class Amended(NamedTuple):
     """Other terms from now on; each scheme that there was has its place still. What is open keeps its own."""
--- a/sableford/model/tally.py
+++ b/sableford/model/tally.py
@@ -1,4 +1,4 @@
-"""What is measured over time: one decaying sum."""
+"""What is measured over time: a decaying sum, and what a tenant has left of its allowance."""
 
 from math import exp
 
@@ -17,3 +17,19 @@
 
     def add(self, now: float, amount: float = 1.0) -> None:
         self.sum = self.read(now) + amount
+
+
+class Allowance:
+    """What may be sent at a rate a second, and how much of it is saved up."""
+
+    __slots__ = ("at", "most", "rate", "saved")
+
+    def __init__(self, now: float, rate: float, spare: float) -> None:
+        self.rate, self.most, self.at = rate, spare + rate, now
+        self.saved = self.most
+
+    def takes(self, now: float) -> bool:
+        """Whether one more is within it; then it counts."""
+        spare = min(self.most, self.saved + (now - self.at) * self.rate / 1000.0)
+        self.at, self.saved = now, spare - (spare >= 1.0)
+        return spare >= 1.0
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -12,6 +12,25 @@
     ONCE_ONLY = 2
 
 
+class Again(IntEnum):
+    """Where a txn may go once more."""
+
+    ANYWHERE = 0
+    IN_GROUP = 1
+    NOWHERE = 2
+
+
+# (scheme's repeats, may an earlier posting have run) -> where it may go again, may it be declined
+PERMITS = {
+    (Repeats.REPEATABLE, False): (Again.ANYWHERE, True),
+    (Repeats.REPEATABLE, True): (Again.ANYWHERE, True),
+    (Repeats.REFERENCED, False): (Again.ANYWHERE, True),
+    (Repeats.REFERENCED, True): (Again.IN_GROUP, False),
+    (Repeats.ONCE_ONLY, False): (Again.ANYWHERE, True),
+    (Repeats.ONCE_ONLY, True): (Again.NOWHERE, False),
+}
+
+
 class Scope(IntEnum):
     """Which workers drop a referenced txn's repeats."""
 
@@ -47,6 +66,26 @@
     push_factor: float
     push_span: float
     soft: bool = False  # only draining binds: 'gone' is hearsay
+    full_may_have_run: bool = False  # workers shed work that they had begun: 'full' is no proof
+    start_drift: float = 0.0  # ms that a listed start may be off either way: the true one counts
+
+    def is_cold(self, age: float) -> bool:
+        """Whether a worker listed as started so long ago may be cold, or was within a span."""
+        return age < self.start_drift + self.warm_within + self.push_span
+
+    def bears(self, age: float) -> float:
+        """The part of its capacity that a worker has at least."""
+        part = max(0.0, age - self.start_drift) / self.warm_within
+        return min(1.0, self.cold_share + (1.0 - self.cold_share) * part)
+
+    def borne(self, age: float) -> float:
+        """The sum of that part over its life, ms at full capacity; it may have started at any time that the
+        list allows, and counts as cold till the latest."""
+        late = max(0.0, age - self.start_drift)
+        ramp = min(late, self.warm_within)
+        flat = max(0.0, min(age + self.start_drift, 2.0 * self.start_drift))
+        grown = (1.0 - self.cold_share) * ramp / self.warm_within / 2.0
+        return flat * self.cold_share + ramp * (self.cold_share + grown) + late - ramp
 
 
 class Tariff(NamedTuple):
--- a/sableford/net/desk.py
+++ b/sableford/net/desk.py
@@ -14,7 +14,6 @@
 from sableford.intake.charter import Charter
 from sableford.intake.door import Door, Sheet
 from sableford.legacy import Legacy
-from sableford.logic import Scheduler
 from sableford.model import (
     Amended,
     Banned,
@@ -74,6 +73,7 @@
     Word,
 )
 from sableford.net.workers import Worker
+from sableford.policy.scheduler import Scheduler
 
 
 class Desk:
--- a/sableford/simhost/__main__.py
+++ b/sableford/simhost/__main__.py
@@ -4,7 +4,6 @@
 
 from sableford.intake.charter import read_charter
 from sableford.intake.door import Door, Sheet
-from sableford.logic import Scheduler
 from sableford.model import (
     CallOff,
     Decline,
@@ -26,6 +25,7 @@
     Wake,
     Woken,
 )
+from sableford.policy.scheduler import Scheduler
 from sableford.simhost import wire
 
 _LIST_DELTA, _LIST_FULL, _LIST_CACHED, _LIST_FAILED = range(4)
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -2,8 +2,8 @@
 
 from heapq import heappop, heappush
 
-from sableford.logic import LOOKS
 from sableford.model import Roster, Taken, Woken
+from sableford.policy.ledger import LOOKS
 from tests.helper import START, Play
 
 MANY = 300
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -53,7 +53,6 @@
 from zlib import crc32
 
 from sableford.intake.door import MARK
-from sableford.logic import Scheduler
 from sableford.model import (
     Account,
     Amended,
@@ -91,6 +90,7 @@
 from sableford.net.cli import run
 from sableford.net.limits import Limits
 from sableford.net.log import Log
+from sableford.policy.scheduler import Scheduler
 
 START = 1_000_000.0
 AGAIN = "POST /api HTTP/1.1\\r\\nHost: x\\r\\nX-Correlation-Id: t\\r\\nContent-Length: 0\\r\\n\\r\\n"
