--- a/sableford/intake/charter.py
+++ b/sableford/intake/charter.py
@@ -58,6 +58,8 @@
     warm_within_s: float
     ask_within_s: float = 10.0
     soft_removal: bool = False
+    busy_is_no_proof: bool = False
+    start_drift_s: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
 
 
 class _ScoringMix(msgspec.Struct):
@@ -120,8 +122,6 @@
     for field in ("sla_time_s", "expiry_s"):
         if not 0.0 < getattr(given, field) < float("inf"):
             raise ValueError(f"schemes[{at}].{field}: not a positive number")
-    if _nth(facts.class_kind, at, -1) != -1:
-        raise ValueError(f"specifics.class_kind[{at}]: schemes bound to one kind of worker are not served")
     if not 0.0 <= given.tardy_earnings <= 1.0:
         raise ValueError(f"schemes[{at}].tardy_earnings: not a part of the earnings")
     if not isfinite(given.earnings) or not isfinite(given.memory_span_s):
@@ -136,6 +136,7 @@
         expiry=given.expiry_s * 1000.0,
         earnings=given.earnings,
         tardy=given.tardy_earnings,
+        kind=_nth(facts.class_kind, at, -1),
     )
 
 
@@ -172,6 +173,8 @@
             owed.overload_factor,
             owed.fall_s * 1000.0,
             owed.soft_removal,
+            owed.busy_is_no_proof,
+            owed.start_drift_s * 1000.0,
         ),
         tariff=Tariff(
             postings=limits.most_postings,
@@ -223,7 +226,9 @@
     def scheme(at: int, name: str) -> Scheme:
         if name not in new.schemes:
             return now.terms.schemes[at]
-        return new.terms.schemes[new.schemes.index(name)]
+        given = new.terms.schemes[new.schemes.index(name)]
+        known = 0 <= given.kind < len(new.kinds)
+        return given._replace(kind=kinds.index(new.kinds[given.kind])) if known else given
 
     zone = new.terms.zone
     terms = new.terms._replace(
--- a/sableford/model/state.py
+++ b/sableford/model/state.py
@@ -37,8 +37,8 @@
 class Kind:
     """Workers built alike: their slots, and their pace against the fleet."""
 
-    def __init__(self, runs: list[Run], weight: float) -> None:
-        self.runs, self.weight = runs, weight
+    def __init__(self, index: int, runs: list[Run], weight: float) -> None:
+        self.index, self.runs, self.weight = index, runs, weight
         self.slots, self.size = 0.0, 0.0
         self.held, self.heard, self.heard_at, self.usual = 0.0, 0.0, 0.0, 0.0
         self.done, self.due, self.touched = 0.0, 0.0, 0.0
--- a/sableford/model/terms.py
+++ b/sableford/model/terms.py
@@ -50,6 +50,7 @@
     expiry: float
     earnings: float
     tardy: float = 0.0  # the part of the earnings that an answer past the SLA time gets
+    kind: int = -1  # of worker, the only one that can run it; -1 for any
 
 
 class Account(NamedTuple):
--- a/sableford/policy/choice.py
+++ b/sableford/policy/choice.py
@@ -135,7 +135,7 @@
     def _allowed(self, worker: Worker, now: float, txn: Txn) -> bool:
         """What the rules and the wire forbid, whatever else is at hand."""
         scheme = txn.scheme
-        if not worker.ready:
+        if not worker.ready or scheme.kind not in (-1, worker.kind.index):
             return False
         # What hangs answers probes: beside an own posting that it keeps silent about, that says nothing.
         if worker.doubted and not (worker.vouched and not (worker.postings and self.terms.tariff.probes)):
--- a/sableford/policy/scheduler.py
+++ b/sableford/policy/scheduler.py
@@ -109,7 +109,7 @@
     def _list(self, told: Listed, now: float) -> None:
         """One line of the roster, and what of it holds under what was said by hand."""
         if told.kind not in self.kinds:
-            self.kinds[told.kind] = Kind(self.runs, RUN_WEIGHT)
+            self.kinds[told.kind] = Kind(told.kind, self.runs, RUN_WEIGHT)
         ban = self.bans.get(told.worker)
         line = ban.over(told) if ban is not None else told
         self.roster[told.worker], self.listed[told.worker] = told, line
--- a/tests/adapter.py
+++ b/tests/adapter.py
@@ -119,14 +119,19 @@
         return read_charter(json.dumps(PROFILE | more).encode()).terms
 
     assert not read().punctual and not read().duties.soft
-    owed = PROFILE["obligations"] | {"soft_removal": True}
-    told = read(scoring_mix={"punctual": 0.4, "miss_allowed": 0.02}, obligations=owed)
+    assert not read().duties.full_may_have_run and read().duties.start_drift == 0.0
+    owed = PROFILE["obligations"] | {"soft_removal": True, "busy_is_no_proof": True, "start_drift_s": 13}
+    told = read(
+        scoring_mix={"punctual": 0.4, "miss_allowed": 0.02}, obligations=owed, specifics={"class_kind": [2]}
+    )
     assert told.punctual and told.duties.soft
+    assert told.duties.full_may_have_run and told.duties.start_drift == 13_000.0 and told.schemes[0].kind == 2
     for bad, field in (
         ({"scoring_mix": {"punctual": -0.1}}, "scoring_mix.punctual"),
         ({"scoring_mix": {"miss_allowed": 2.0}}, "scoring_mix.miss_allowed"),
         ({"scoring_mix": {"punctual": float("nan")}}, "settings"),
         ({"obligations": PROFILE["obligations"] | {"soft_removal": 1}}, "obligations.soft_removal"),
+        ({"obligations": PROFILE["obligations"] | {"start_drift_s": -1}}, "obligations.start_drift_s"),
     ):
         try:
             read(**bad)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -130,6 +130,8 @@
         facts = options("sla=300 stretch=2 expiry=5000 earnings=1 span=0".split()) | options(rest)
         scope = next((Scope[word.upper()] for word in rest if "=" not in word), Scope.ALL)
         sort = Repeats[repeats.upper().replace("-", "_")]
+        if "kind" in facts:
+            facts["kind"] = int(facts["kind"])
         self.schemes[name] = Scheme(sort, scope, **facts)
 
     def open(self) -> Scheduler:
@@ -145,7 +147,9 @@
             schemes=tuple(self.schemes.values()),
             accounts=(Account(told["allowance"]), Account(0.0)) if told["allowance"] else (),
             duties=Duties(
-                told["cold"], told["warm"], told["factor"], told["span"], bool(told.get("soft", 0))
+                *(told[name] for name in ("cold", "warm", "factor", "span")),
+                *(bool(told.get(name, 0)) for name in ("soft", "full")),
+                told.get("drift", 0.0),
             ),
             tariff=Tariff(
                 int(told["postings"]), True, bool(told["probes"]), told["pause"], told["overage"], 0.0
