Put nothing new to a store that is silent, and give up early where all are

Change: a first put goes to an owner heard within 220 ms (300 before), else its client gets 503 and Retry-After within 0.6 s; what may have been taken is answered 504 after 0.6 s where no store at all speaks.

--- a/sableford/altavia/links.py
+++ b/sableford/altavia/links.py
@@ -14,7 +14,7 @@
 
 FEW = 8  # links that are looked at so often; with more, less often by as much, so that pings stay few
 BEAT_MS = 100.0  # between two looks at the links: a ping where nothing was heard for so long
-SILENT_MS = 300.0  # without a word: a link counts as quiet, and other ways are taken first
+SILENT_MS = 220.0  # without a word: a link counts as quiet, and other ways are taken first
 DEAD_MS = 1600.0  # without a word, or for a dial to succeed: given up and dialled anew
 REDIAL_MS = 60.0  # between two dials, doubling up to ten times as much
 BACKLOG = 8_388_608  # bytes waiting to leave: the other side does not read
--- a/sableford/sapienza/gate.py
+++ b/sableford/sapienza/gate.py
@@ -144,7 +144,8 @@
             changed = self.member.changed
             if shard >= 0:
                 owner = self.member.view.owners[shard]
-                link = self.ways.near(owner) or (self.ways.link(owner) if key or head["again"] else None)
+                # Put to a store that has fallen silent it could only be answered with 504.
+                link = self.ways.near(owner) or (self.ways.link(owner) if head["again"] else None)
                 if link is not None:
                     head |= {"shard": shard, "ref": _ref(shard, id), "age": self.life.now() - now}
                     got = await self._ask(link, head, request.body, until)
@@ -154,7 +155,7 @@
                         return Answer(202, b"", (("Message-Ref", head["ref"]),))
                     elif "full" in got:
                         return _refusal("the stores are full")
-            if self.life.now() >= (until if head["again"] else hold):
+            if self.life.now() >= (until if head["again"] and self._hopeful() else hold):
                 break
             if not key and not head["again"]:
                 shard = self._pick()
@@ -167,6 +168,11 @@
             return Answer(504, b'{"reason":"not known whether it was taken"}')
         return _refusal("no store could take it", 0)
 
+    def _hopeful(self) -> bool:
+        """Whether any store speaks: with all of them gone none is back before this client gives up."""
+        view = self.member.view
+        return any(self.ways.near(name) is not None for name in view.huts)
+
     def _pick(self) -> int:
         """A shard for what has no key: of a store in the own zone, one after the other."""
         for pool in (self._near, self._any):
