Let a store that is cut off from the others take nothing new

Ruled out: its lease, which must run out before another may act. Change: a put is turned away at once where fewer other stores speak than must hold copies; its edge passes that store over for 150 ms. Also covers freezes and losses of all other stores. The test asks a queue whose others are quiet.

--- a/sableford/margherita/taking.py
+++ b/sableford/margherita/taking.py
@@ -24,6 +24,8 @@
             return self._done()
         if ref in self.ends:
             self._say(Reply(waiter, {"kept": True}))
+        elif ref not in self.held and self._alone():
+            self._say(Reply(waiter, {"no": "alone"}))
         elif (known := self.held.get(ref)) is not None:
             if known.state is State.TAKING:
                 known.waiters.append(waiter)
@@ -38,6 +40,10 @@
             self._take(now, head, body, waiter)
         return self._done()
 
+    def _alone(self) -> bool:
+        """Whether too few other stores speak for a message to be safe: it could only be kept back."""
+        return len(self._others() - self.quiet) < self.losses
+
     def _take(self, now: float, head: dict, body: bytes, waiter: Any) -> None:
         kept = {
             name: head[name] for name in ("ref", "shard", "key", "id", "host", "target", "method", "revision")
--- a/sableford/sapienza/gate.py
+++ b/sableford/sapienza/gate.py
@@ -24,6 +24,7 @@
 HOLD_PART = 0.4  # of the time its client waits, at most
 STATUS_MS = 1700.0  # those who ask for a state wait two seconds
 STALE_MS = 3000.0  # without a lease for so long, the configuration may be an old one
+SHUN_MS = 150.0  # a store that said that it speaks to too few others is passed over for so long
 LEAVE_MS = 2300.0  # after SIGTERM: two missed looks at whether it is ready
 NAME = re.compile(r"[A-Za-z0-9._-]{1,58}")
 STATUS, BODY = "/v1/message/", "/v1/message-body/"
@@ -39,6 +40,7 @@
         self._near: list[int] = []
         self._any: list[int] = []
         self._turn = 0
+        self._shunned: dict[str, float] = {}  # stores that take nothing now, until when
 
     async def run(self) -> None:
         life, settings = self.life, self.life.settings
@@ -155,6 +157,8 @@
                         return Answer(202, b"", (("Message-Ref", head["ref"]),))
                     elif "full" in got:
                         return _refusal("the stores are full")
+                    elif got.get("no") == "alone":
+                        self._shunned[owner] = self.life.now() + SHUN_MS
             if self.life.now() >= (until if head["again"] and self._hopeful() else hold):
                 break
             if not key and not head["again"]:
@@ -175,11 +179,13 @@
 
     def _pick(self) -> int:
         """A shard for what has no key: of a store in the own zone, one after the other."""
+        now = self.life.now()
         for pool in (self._near, self._any):
             for _ in range(len(pool)):
                 self._turn += 1
                 shard = pool[self._turn % len(pool)]
-                if self.ways.near(self.member.view.owners[shard]) is not None:
+                owner = self.member.view.owners[shard]
+                if self.ways.near(owner) is not None and self._shunned.get(owner, 0.0) <= now:
                     return shard
         return -1
 
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -15,6 +15,7 @@
 
 from sableford.altavia.frames import Frames, frame
 from sableford.altavia.http import Answer, Bounds, Call, Door, Reply, Visit
+from sableford.altavia.routes import Table
 from sableford.altavia.verdict import Ran
 from sableford.fleet.record.core import Add, Cut, Held, Meta, Record, Send, Standing, Store, Whole, put
 from sableford.fleet.record.words import Entry
@@ -22,13 +23,15 @@
 from sableford.leconte.folder import Folder
 from sableford.leconte.lodge import Lodge
 from sableford.leconte.member import Member
-from sableford.leconte.view import SHARDS, View, shares
+from sableford.leconte.view import SHARDS, Hut, View, shares
 from sableford.margherita.choice import Choice
 from sableford.margherita.choice import Line as WorkerLine
 from sableford.margherita.courier import judge
 from sableford.margherita.disk import Disk
 from sableford.margherita.queue import Queue
-from sableford.margherita.walk import Walk, Wrong
+from sableford.margherita.walk import DOC, Walk, Wrong
+from sableford.margherita.words import Copy, Keep
+from sableford.margherita.words import Reply as Replied
 from sableford.net.log import Aside
 from sableford.trailhead.cli import main
 from sableford.trailhead.log import Log
@@ -139,6 +142,19 @@
     return {"revision": revision, "routes": [route], "backends": [{"name": "b"}]}
 
 
+def shows_a_store_that_speaks_to_too_few_others_takes_nothing_new() -> None:
+    queue = Queue("s0", "b0", 1, Table(1, DOC), Choice("z0", "s0"), 600.0, True)
+    queue.view = View((1, 1), huts={f"s{at}": Hut(f"b{at}", f"z{at}") for at in range(3)})
+    queue.owned, queue.lease = {0: (1, 1)}, 1e9
+    head = {"ref": "00-a", "shard": 0, "key": "", "id": "a", "host": "h", "target": "/a", "method": "POST"}
+    head |= {"delay": 0.0, "age": 0.0, "revision": 1}
+    queue.quiet = {"s1", "s2"}
+    assert queue.put(0.0, head, b"x", "edge") == [Replied("edge", {"no": "alone"})] and not queue.held
+    queue.quiet = {"s1"}
+    told = queue.put(0.0, head, b"x", "edge")
+    assert [type(one) for one in told] == [Keep, Copy] and told[1].to == "s2"
+
+
 class Orders(RuleBasedStateMachine):
     """Two operators who race, repeat themselves and err: one version after the other, none of them twice."""
 
