Play stores of the landed version beside new ones in simulated time

Change: tests/pairs.py reads the landed version from the history, loads it beside this one and lets stores of both take turns in walks with kills, losses of power, cuts and the rest.

--- a/sableford/margherita/walk.py
+++ b/sableford/margherita/walk.py
@@ -686,7 +686,7 @@
                 if state["phase"] == "complete" and state["seal"] not in self.seals.get(ref, ()):
                     raise self._wrong("MIXED", ref)
         live = [store for store in self.stores.values() if store.alive]
-        held = [m.ref for s in live for m in s.queue.held.values() if m.state is not State.COPY]
+        held = [m.ref for s in live for m in s.queue.held.values() if m.state.name != State.COPY.name]
         if held:
             raise self._wrong("NEVER ENDS", held[0])
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,6 +21,7 @@
     joined,
     legacy,
     members,
+    pairs,
     record,
     rig,
     trail,
@@ -29,7 +30,8 @@
 from tests.helper import play, play_sockets, scenarios
 
 MODULES = (
-    actors, adapter, command, crowd, fleet, handover, joined, legacy, members, record, rig, trail, upgrade
+    actors, adapter, command, crowd, fleet, handover, joined, legacy, members, pairs, record, rig, trail,
+    upgrade,
 )  # fmt: skip
 HUNG = 180.0  # s for one test, three times what a scene of several processes has
 
--- /dev/null
+++ b/tests/pairs.py
@@ -0,0 +1,101 @@
+"""Two versions in one fleet: stores of the last version that landed beside stores of this one, in simulated
+time. The older one is read from the repository's history; where there is none there is nothing to play."""
+
+import importlib
+import io
+import subprocess
+import sys
+import tarfile
+import tempfile
+from pathlib import Path
+
+from sableford.altavia.verdict import Ran, Verdict
+from sableford.margherita import words
+from sableford.margherita.queue import Queue
+from sableford.margherita.walk import Walk
+from sableford.margherita.words import End
+
+LANDED = "60a4bc6d11c099da10fc0da1406d65ed552f59fe"  # renewed with each landing
+
+
+def landed(folder: str) -> tuple[type, type, type] | None:
+    """Queue, Verdict and Ran of the landed version; none without history."""
+    root = Path(__file__).parent.parent
+    got = subprocess.run(["git", "archive", LANDED, "sableford"], cwd=root, capture_output=True, check=False)
+    if got.returncode:
+        return None
+    with tarfile.open(fileobj=io.BytesIO(got.stdout)) as tar:
+        tar.extractall(folder, filter="data")
+    mine = {name: sys.modules.pop(name) for name in list(sys.modules) if name.split(".")[0] == "sableford"}
+    sys.path.insert(0, folder)
+    try:
+        queue = importlib.import_module("sableford.margherita.queue")
+        verdict = importlib.import_module("sableford.altavia.verdict")
+        return queue.Queue, verdict.Verdict, verdict.Ran
+    finally:
+        sys.path.remove(folder)
+        for name in [name for name in sys.modules if name.split(".")[0] == "sableford"]:
+            del sys.modules[name]
+        sys.modules.update(mine)
+
+
+def older(queue: type, verdict: type, ran: type) -> type:
+    """The older queue, its words and ours put into each other's types, as the wire does."""
+
+    def theirs(given: Verdict) -> object:
+        return verdict(ran(given.ran.value), *given[1:])
+
+    def ours(value: object) -> object:
+        kind = type(value).__name__
+        if kind == "Verdict":
+            return Verdict(Ran(value.ran.value), *value[1:])
+        if kind == "End":
+            return End(*value)
+        return value
+
+    def said(effects: list) -> list:
+        return [getattr(words, type(one).__name__)(*map(ours, one)) for one in effects]
+
+    class Older(queue):
+        def delivered(self, now, ref, worker, given):
+            return said(super().delivered(now, ref, worker, theirs(given)))
+
+        def late(self, now, sender, ref, shard, given):
+            return said(super().late(now, sender, ref, shard, theirs(given)))
+
+    for name in (
+        "put",
+        "see",
+        "tick",
+        "kept",
+        "copied",
+        "end_copied",
+        "end_told",
+        "part",
+        "pulled",
+        "settled",
+    ):
+        setattr(Older, name, lambda self, *given, name=name: said(getattr(queue, name)(self, *given)))
+    for name in ("sought", "repair", "configure"):
+        setattr(Older, name, lambda self, *given, name=name: said(getattr(queue, name)(self, *given)))
+    return Older
+
+
+def shows_stores_of_the_landed_version_beside_new_ones_break_no_rule() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        if (found := landed(folder)) is None:
+            print("no history: the landed version is not played")
+            return
+        before = older(*found)
+        accepted = 0
+        for seed in range(12):
+            # Each store starts as one of the two, and as the other after each restart in some walks.
+            lives: dict[str, int] = {}
+
+            def make(me, *given, lives=lives, seed=seed):
+                lives[me] = lives.get(me, seed) + 1
+                return (before if (lives[me] + int(me[1:])) % 2 else Queue)(me, *given)
+
+            walk = Walk(500 + seed, make=make).play()
+            accepted += len(walk.accepted)
+        assert accepted > 3000, accepted
