--- a/sableford/policy/ledger.py
+++ b/sableford/policy/ledger.py
@@ -55,7 +55,7 @@
         self.held, self.crowd = 0, 1.0  # txns held; schedulers to a worker
         self.parties: dict[tuple[int, int], tuple[int, ...]] = {}
         self.ours, self.turns_from = True, 0.0  # the turns at cold workers, and since when
-        self.born, self.follow_at, self.refused = -1.0, 0.0, 0
+        self.born, self.follow_at, self.looked_at, self.refused = -1.0, 0.0, 0.0, 0
         self.limits: list[tuple[float, int]] = []
         self.doubted: dict[int, Worker] = {}
         self._allot(0.0)
--- a/sableford/policy/news.py
+++ b/sableford/policy/news.py
@@ -9,6 +9,7 @@
 from sableford.policy.postings import EXCESS, Postings
 
 FAULT_MEMORY = 10_000.0  # ms: decay of errors and of finishes beside them
+LOOK_GAP = 20.0  # ms between looks on such a word where the estimate has no room: sixteen of 17 found none
 IN_LINE = 0.1  # of the postings at a worker may meet a line: what keeps it busy between two finishes
 
 
@@ -135,11 +136,11 @@
     def _heard(self, now: float, event: events.Heard) -> None:
         """Another scheduler's part of what is at a worker: as good as an own send or finish."""
         peer, index, slots = event
-        if (worker := self.workers.get(index)) is None:
-            if (line := self.listed.get(index)) is None:
-                return
-            worker = self._meet(line)
+        if index not in self.workers and index not in self.listed:
+            return
+        worker = self.workers.get(index) or self._meet(self.listed[index])
         more = worker.hear(now, peer, slots)
-        # By what was told alone, sixteen of seventeen looks at a full fleet found no room.
-        if self.held and more < 0.0 and self._index(worker, now, 1.0, 1.0)[1]:
+        room = self.held and more < 0.0 and worker.own + worker.theirs < worker.kind.slots
+        if room and (now - self.looked_at > LOOK_GAP or self._index(worker, now, 1.0, 1.0)[1]):
+            self.looked_at = now
             self._pump(now)
