Send the second copy near, and figures less often among many stores

Change: one copy goes to another zone (as many as may be lost), what more there must be to the own zone; the time between two words of figures grows with the number of stores past eight. Small sites are as before. Harm: a zone lost with two machines tolerated leaves one copy, as much as is promised.

--- a/sableford/margherita/hut.py
+++ b/sableford/margherita/hut.py
@@ -44,7 +44,8 @@
 from sableford.trailhead.settings import address
 
 TICK = 15.0  # ms between two looks at what is due
-TELL = 40.0  # ms between two words to other stores on what is in flight here
+TELL = 40.0  # ms between two words to other stores on what is in flight here; with more than
+TELL_FEW = 8  # so many stores less often by as much, so that what each hears grows no faster than they do
 ASK = (
     1200.0  # ms for another store's answer; a message that is only late then is asked for elsewhere meanwhile
 )
@@ -129,6 +130,7 @@
             self.choice,
             settings.rule_bounds.status_ttl_s,
             self._whole,
+            settings.tolerates.zones,
         )
         self.queue.unix = unix
         self._marked = node is not None
@@ -166,7 +168,8 @@
 
     def _tell(self) -> None:
         """What is in flight here, to those who decide on the same workers; and whose figures are wanted."""
-        self.loop.call_later(TELL / 1000.0, self._tell)
+        crowd = max(1.0, len(self.member.view.huts) / TELL_FEW)
+        self.loop.call_later(TELL * crowd / 1000.0, self._tell)
         if changed := self.choice.changed:
             word = {"op": "told", "counts": self.choice.own_counts(changed)}
             self._to_all(word)
--- a/sableford/margherita/table.py
+++ b/sableford/margherita/table.py
@@ -23,13 +23,24 @@
 
 
 class Held:
-    """`me` is this store's name, `birth` this life's; `losses` how many disks may go at once."""
+    """`me` is this store's name, `birth` this life's; `losses` how many disks may go at once, `zones` how
+    many whole zones."""
 
     def __init__(
-        self, me: str, birth: str, losses: int, table: Table, choice: Choice, status_s: float, whole: bool
+        self,
+        me: str,
+        birth: str,
+        losses: int,
+        table: Table,
+        choice: Choice,
+        status_s: float,
+        whole: bool,
+        zones: int = 0,
     ) -> None:
         self.me, self.birth, self.losses, self.table, self.choice = me, birth, losses, table, choice
-        self.status_s, self.whole = status_s, whole
+        self.status_s, self.whole, self.zones = status_s, whole, zones
+        self._rows: dict[tuple[int, bool], list[str]] = {}  # the order in which copies go out, by shard
+        self._rows_for: tuple = ()
         self.lease = 0.0  # until when this process may act
         self.view = View()
         self.held: dict[str, Message] = {}
--- a/sableford/margherita/taking.py
+++ b/sableford/margherita/taking.py
@@ -74,35 +74,47 @@
         want -= len(under_way)
         if want <= 0:
             return
-        for name in self._backups(message.shard):
-            if want <= 0:
+
+        def may(name: str) -> bool:
+            return name not in message.held and now - message.copied_at.get(name, -1e12) >= COPY_AGAIN * 5.0
+
+        zone = self._zone()
+        holders = {*message.held, *under_way} & self.view.huts.keys()
+        far = sum(self._zone(name) != zone for name in holders)
+        for _ in range(want):
+            # One in another zone; what more there must be may be near, since bytes between zones cost.
+            near = far >= 1 and self.zones < 2
+            name = next((one for one in self._backups(message.shard, near) if may(one)), "")
+            if not name:
                 return
-            if name in message.held or name in under_way:
-                continue
-            if now - message.copied_at.get(name, -1e12) < COPY_AGAIN * 5.0:
-                continue
             message.copied_at[name] = now
+            far += self._zone(name) != zone
             self._say(Copy(name, message.ref, self.owned[message.shard]))
-            want -= 1
-
-    def _backups(self, shard: int) -> list[str]:
-        """Other stores in the order in which copies go to them: speaking before quiet, other zones first."""
-        names = sorted(self._others())
-        if not names:
-            return []
-        start = shard % len(names)
-        turned = names[start:] + names[:start]
-        huts, zone = self.view.huts, self.view.huts[self.me].zone if self.me in self.view.huts else ""
-        return sorted(
-            turned,
+
+    def _zone(self, name: str = "") -> str:
+        hut = self.view.huts.get(name or self.me)
+        return hut.zone if hut is not None else ""
+
+    def _backups(self, shard: int, near: bool = False) -> list[str]:
+        """Other stores in the order in which copies go to them: speaking before quiet, other zones first, or
+        last where it may be `near`."""
+        if self._rows_for != (self.view.number, self.quiet):
+            self._rows_for, self._rows = (self.view.number, set(self.quiet)), {}
+        if (shard, near) in self._rows:
+            return self._rows[shard, near]
+        names, huts, zone = sorted(self._others()), self.view.huts, self._zone()
+        start = shard % max(1, len(names))
+        row = self._rows[shard, near] = sorted(
+            names[start:] + names[:start],
             key=lambda name: (
                 huts[name].retiring,
                 name in self.quiet,
                 huts[name].leaving,
                 not huts[name].whole,
-                huts[name].zone == zone,
+                (huts[name].zone == zone) != near,
             ),
         )
+        return row
 
     def kept(self, now: float, what: str, ref: str, problem: str = "") -> list[Effect]:
         """The own disk has it, or refuses."""
