Serve services at one address, and keep under a service's rate by all stores together

Change: an endpoint is a worker of the own configuration, without Target-Instance, with a window that grows with successes and shrinks where it turns away; each live store has its part of a rate in a bucket that begins empty. An edge's time without a lease comes from applyMs. Harm: uneven load over stores leaves parts of a rate unused.

--- a/sableford/leconte/book.py
+++ b/sableford/leconte/book.py
@@ -49,7 +49,7 @@
     ratePerS: Figure = 0
     idempotent: bool = False
     pulled: bool = False
-    endpoint: str | None = None
+    endpoint: Annotated[str, Field(pattern=r"^[^:\s]+:[0-9]{1,5}$")] | None = None
 
 
 class Limits(_Part):
--- a/sableford/margherita/choice.py
+++ b/sableford/margherita/choice.py
@@ -8,6 +8,7 @@
 
 from typing import NamedTuple
 
+from sableford.altavia.routes import Table
 from sableford.policy.bound import AGE_LIMIT, IMBALANCE, UNCERTAINTY, breaks, point, within
 
 CROSSING = 1.0  # jobs added to a worker in another zone: a body that crosses costs 2% of its worth
@@ -15,6 +16,9 @@
 COLD = 0.5  # jobs added to a worker that is cold: it is slower for some seconds
 TRIAL_MS = 250.0  # ms until a worker that gave no sign is tried again, doubling with each failure
 TRIAL_MOST = 2000.0
+FIXED_FIRST = 4.0  # deliveries at once to a service at one address, of which nothing tells its size: one
+FIXED_LESS = 0.7  # more for each window of successes, so much less where one is turned away
+FIXED_REST = 100.0  # ms until it is taken for less again: what was sent together is turned away together
 FAULTS = 2  # breaks in a row: one lost answer says little of a worker
 
 
@@ -26,12 +30,14 @@
     zone: str
     capacity: int
     ready: bool
+    fixed: bool = False  # a service at one address, on no list: `capacity` is the connections it takes
 
 
 class Worker:
     __slots__ = (
         "asked_at",
         "cold_until",
+        "cut_at",
         "doubt_until",
         "failures",
         "heard_at",
@@ -39,6 +45,7 @@
         "own",
         "theirs",
         "told",
+        "window",
     )
 
     def __init__(self, line: Line, now: float) -> None:
@@ -48,6 +55,12 @@
         self.asked_at = -1e12
         self.doubt_until, self.failures = 0.0, 0
         self.cold_until = 0.0
+        self.window, self.cut_at = FIXED_FIRST, -1e12
+
+    def full(self) -> bool:
+        if self.line.fixed:  # what others have there is not of its window
+            return self.own + 1 > min(self.window, self.line.capacity) + SLACK
+        return self.jobs() + 1 > self.line.capacity + SLACK
 
     def jobs(self) -> int:
         return self.own + self.theirs
@@ -90,9 +103,22 @@
             self._sort()
 
     def keep(self, ids: set[str]) -> None:
-        for id in self.workers.keys() - ids:
+        """Of those on the list just these are left."""
+        for id in [id for id, one in self.workers.items() if id not in ids and not one.line.fixed]:
             self.drop(id)
 
+    def fix(self, now: float, table: Table) -> None:
+        """Services at one address, by the configuration; they sit on no list."""
+        fixed = {f"@{one.name}": one for one in table.backends.values() if one.endpoint}
+        for id, known in list(self.workers.items()):
+            if known.line.fixed and id not in fixed:
+                self.drop(id)
+        for id, one in fixed.items():
+            host, _, port = one.endpoint.rpartition(":")
+            line = Line(id, one.name, host, int(port), self.zone, one.conns, True, True)
+            if id not in self.workers or self.workers[id].line != line:
+                self.put(now, line, 0.0)
+
     def _sort(self) -> None:
         self._by = {}
         for worker in self.workers.values():
@@ -132,10 +158,9 @@
             fit = [one for one in fit if one.line.id != avoid] or fit
         indices = []
         for one in fit:
-            jobs = one.own + one.theirs
-            if jobs + 1 > one.line.capacity + SLACK:
+            if one.full():
                 continue
-            index = float(jobs)
+            index = float(one.own + one.theirs)
             if one.line.zone != self.zone:
                 index += CROSSING
             if one.cold_until > now:
@@ -159,10 +184,15 @@
         worker.own += 1
         self.changed.add(worker.line.id)
 
-    def finished(self, now: float, worker: Worker, answered: bool, gone: bool) -> None:
-        """A delivery there is over: whether the worker has answered it, and whether it was not to be
-        reached."""
+    def finished(self, now: float, worker: Worker, answered: bool, gone: bool, turned: bool = False) -> None:
+        """A delivery there is over: whether the worker has answered it, whether it was not to be reached,
+        and whether it was turned away."""
         worker.own = max(0, worker.own - 1)
+        if worker.line.fixed:
+            if answered and not turned:
+                worker.window += 1.0 / worker.window
+            elif now - worker.cut_at > FIXED_REST:
+                worker.window, worker.cut_at = max(1.0, FIXED_LESS * worker.window), now
         self.changed.add(worker.line.id)
         if answered:
             worker.failures, worker.doubt_until = 0, 0.0
--- a/sableford/margherita/courier.py
+++ b/sableford/margherita/courier.py
@@ -25,9 +25,10 @@
         f"Host: {head['host']}",
         f"Attempt-Id: {head['id']}",
         f"Deadline-Ms: {max(1, int(left_ms))}",
-        f"Target-Instance: {line.id}",
         f"Content-Length: {len(body)}",
     ]
+    if not line.fixed:
+        lines.append(f"Target-Instance: {line.id}")
     if head.get("type"):
         lines.append(f"Content-Type: {head['type']}")
     if head["key"]:
--- a/sableford/margherita/hut.py
+++ b/sableford/margherita/hut.py
@@ -131,6 +131,7 @@
             settings.rule_bounds.status_ttl_s,
             self._whole,
             settings.tolerates.zones,
+            (settings.rule_bounds.ceiling_window_s, settings.rule_bounds.origin_excess),
         )
         self.queue.unix = unix
         self._marked = node is not None
--- a/sableford/margherita/queue.py
+++ b/sableford/margherita/queue.py
@@ -34,8 +34,8 @@
         """A delivery from here is over."""
         known = self.choice.workers.get(worker)
         if known is not None:
-            gone = verdict.ran is Ran.NOT_RUN and not verdict.reached
-            self.choice.finished(now, known, verdict.reached, gone)
+            not_run = verdict.ran is Ran.NOT_RUN
+            self.choice.finished(now, known, verdict.reached, not_run and not verdict.reached, not_run)
         shard = self.out.pop(ref, None)
         message = self.held.get(ref)
         if message is not None and message.state is State.OUT and message.shard in self.owned:
@@ -201,6 +201,8 @@
     def configure(self, now: float, table: Table) -> list[Effect]:
         """Another version: what waits is looked at anew, by it."""
         self.table = table
+        self.choice.fix(now, table)
+        self._ration(now)
         for message in list(self.held.values()):
             if (
                 message.shard in self.owned
--- a/sableford/margherita/table.py
+++ b/sableford/margherita/table.py
@@ -9,6 +9,7 @@
 from sableford.leconte.view import Number, View
 from sableford.margherita.choice import Choice
 from sableford.margherita.words import Effect, End, Message
+from sableford.model.tally import Allowance
 
 
 class Collect:
@@ -36,9 +37,13 @@
         status_s: float,
         whole: bool,
         zones: int = 0,
+        ceiling: tuple[float, float] = (5.0, 1.1),
     ) -> None:
         self.me, self.birth, self.losses, self.table, self.choice = me, birth, losses, table, choice
         self.status_s, self.whole, self.zones = status_s, whole, zones
+        self.ceiling = ceiling  # s, and how far above a service's rate arrivals in such a window may be
+        self._rations: dict[str, Allowance] = {}
+        self._rationed: tuple = ()
         self._rows: dict[tuple[int, bool], list[str]] = {}  # the order in which copies go out, by shard
         self._rows_for: tuple = ()
         self.lease = 0.0  # until when this process may act
--- a/sableford/margherita/takeover.py
+++ b/sableford/margherita/takeover.py
@@ -28,6 +28,7 @@
     def see(self, now: float, view: View) -> list[Effect]:
         """The newest view, at once in force here."""
         self.view = view
+        self._ration(now)
         mine = {at: view.epochs[at] for at in view.owned(self.me, self.birth)}
         if self.me in view.huts and view.huts[self.me].birth == self.birth:
             self.whole = self.whole or view.huts[self.me].whole
--- a/sableford/margherita/turns.py
+++ b/sableford/margherita/turns.py
@@ -5,9 +5,13 @@
 
 from sableford.margherita.table import Held
 from sableford.margherita.words import Deliver, Message, Seek, State
+from sableford.model.tally import Allowance
 
 LATE_TURN = 8  # one in so many deliveries is of a message past its aim, while others still keep theirs
 NEWER = 30.0  # ms before a message for a route not known yet is looked at again
+CEILING_OVER = 5.0  # arrivals that a ceiling allows beyond its rate in a window (RULES.md, CEILING)
+CEILING_PART = 0.8  # of what it allows beyond is saved up by all together
+RATE_LEAST = 0.2  # a second, over all stores: less would be none
 SEEK = 250.0  # ms for others to say whether they know one
 AWAY_SLACK = 400.0  # ms past its deadline that the word on a delivery of the owner before may take
 
@@ -49,9 +53,10 @@
         if not self.holds(now):
             return
         for backend in list(self._ready):
+            ration = self._rations.get(backend)
             while (message := self._next(now, backend)) is not None:
                 worker = self.choice.choose(now, backend, message.avoid)
-                if worker is None:
+                if worker is None or (ration is not None and not ration.takes(now)):
                     break
                 self._take_off(backend, message)
                 route = self._route(message)
@@ -62,6 +67,24 @@
                     Deliver(message.ref, worker.line.id, now + (route.deadline_ms if route else 1000.0))
                 )
 
+    def _ration(self, now: float) -> None:
+        """Of a service that bears no more than a rate each live store has its part, so that all together keep
+        under it in every window; what is saved up by stores that had nothing to send counts into that."""
+        stores = max(1, len(self.view.huts))
+        if self._rationed == (stores, self.table.revision):
+            return
+        self._rationed = stores, self.table.revision
+        before, self._rations = self._rations, {}
+        window_s, excess = self.ceiling
+        for name, backend in self.table.backends.items():
+            if backend.rate > 0.0:
+                spare = CEILING_PART * (backend.rate * window_s * (excess - 1.0) + CEILING_OVER)
+                most = max(1.0, spare / stores)
+                # Where even one for each is more than may be saved up, the rate gives the rest.
+                rate = max(RATE_LEAST, backend.rate - max(0.0, most * stores - spare) / window_s) / stores
+                known = before.get(name)
+                self._rations[name] = Allowance(now, rate, most, min(most, known.saved) if known else 0.0)
+
     def _next(self, now: float, backend: str) -> Message | None:
         """The next one of a service: earliest due among those that can keep their aim, then the late ones."""
         line, tardy = self._ready[backend], self._tardy.setdefault(backend, [])
--- a/sableford/model/tally.py
+++ b/sableford/model/tally.py
@@ -24,9 +24,8 @@
 
     __slots__ = ("at", "most", "rate", "saved")
 
-    def __init__(self, now: float, rate: float, spare: float) -> None:
-        self.rate, self.most, self.at = rate, spare + rate, now
-        self.saved = self.most
+    def __init__(self, now: float, rate: float, most: float, saved: float) -> None:
+        self.rate, self.most, self.at, self.saved = rate, most, now, saved
 
     def takes(self, now: float) -> bool:
         """Whether one more is within it; then it counts."""
--- a/sableford/policy/ledger.py
+++ b/sableford/policy/ledger.py
@@ -136,7 +136,7 @@
         """Each tenant's part here of what it may send."""
         # A part below one txn a second found the first txn of each scheduler beyond the share.
         rates = [account.allowance / self.terms.schedulers for account in self.terms.accounts]
-        self.shares = [Allowance(now, rate, TOKENS) for rate in rates]
+        self.shares = [Allowance(now, rate, TOKENS + rate, TOKENS + rate) for rate in rates]
 
     def _beyond_share(self, now: float, account: int) -> bool:
         """Whether the tenant sends more than this scheduler's part of its allowance."""
--- a/sableford/sapienza/gate.py
+++ b/sableford/sapienza/gate.py
@@ -23,7 +23,6 @@
 HOLD_MS = 600.0  # for a store that takes it, before it was sent to any; then its client may as well ask anew
 HOLD_PART = 0.4  # of the time its client waits, at most
 STATUS_MS = 1700.0  # those who ask for a state wait two seconds
-STALE_MS = 3000.0  # without a lease for so long, the configuration may be an old one
 SHUN_MS = 150.0  # a store that said that it speaks to too few others is passed over for so long
 LEAVE_MS = 2300.0  # after SIGTERM: two missed looks at whether it is ready
 NAME = re.compile(r"[A-Za-z0-9._-]{1,58}")
@@ -82,12 +81,16 @@
         self._near = [at for at in self._any if view.huts[view.owners[at]].zone == zone]
         self.log.say("view", number=view.number, owned=len(self._any))
 
+    def _stale_ms(self) -> float:
+        """Without a lease for so long, the configuration may be an old one."""
+        return self.life.settings.rule_bounds.apply_ms
+
     # Whether it may be sent clients
 
     def _ready(self) -> bool:
         if self.life.ending.is_set() or not self.table.revision or not self._any:
             return False
-        return self.life.now() < self.member.lease + STALE_MS
+        return self.life.now() < self.member.lease + self._stale_ms()
 
     def _probed(self, request: Request) -> Answer:
         if request.path != "/v1/readiness":
@@ -102,7 +105,7 @@
             return self._state(path[len(STATUS) :])
         if request.method == "GET" and path.startswith(BODY):
             return self._bytes(path[len(BODY) :])
-        if not self.table.revision or self.life.now() > self.member.lease + STALE_MS:
+        if not self.table.revision or self.life.now() > self.member.lease + self._stale_ms():
             return _refusal("no configuration is known for certain")
         if request.count(b"host") != 1:
             return Answer(400, b'{"reason":"one Host is wanted"}')
--- a/sableford/trailhead/settings.py
+++ b/sableford/trailhead/settings.py
@@ -50,6 +50,8 @@
     done_s: float = 10
     status_ttl_s: float = 120
     not_before_ms: float = 100
+    ceiling_window_s: float = 5
+    origin_excess: float = 1.1
 
 
 class Settings(msgspec.Struct, rename="camel"):
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -2,6 +2,7 @@
 on bytes, verdicts, the folder of a store. Nothing here sleeps, opens a port or needs the bench."""
 
 import asyncio
+import itertools
 import os
 import tempfile
 from collections.abc import Callable
@@ -16,7 +17,7 @@
 from sableford.altavia.frames import Frames, frame
 from sableford.altavia.http import Answer, Bounds, Call, Door, Reply, Visit
 from sableford.altavia.routes import Table
-from sableford.altavia.verdict import Ran
+from sableford.altavia.verdict import Ran, Verdict
 from sableford.fleet.record.core import Add, Cut, Held, Meta, Record, Send, Standing, Store, Whole, put
 from sableford.fleet.record.words import Entry
 from sableford.leconte import book
@@ -26,11 +27,11 @@
 from sableford.leconte.view import SHARDS, Hut, View, shares
 from sableford.margherita.choice import Choice
 from sableford.margherita.choice import Line as WorkerLine
-from sableford.margherita.courier import judge
+from sableford.margherita.courier import judge, request_of
 from sableford.margherita.disk import Disk
 from sableford.margherita.queue import Queue
 from sableford.margherita.walk import DOC, Walk, Wrong
-from sableford.margherita.words import Copy, Keep
+from sableford.margherita.words import Copy, Deliver, Keep
 from sableford.margherita.words import Reply as Replied
 from sableford.net.log import Aside
 from sableford.trailhead.cli import main
@@ -181,6 +182,64 @@
     assert copies(2, 2) == ["s3", "s4"]
 
 
+def at_one_address(rate: float) -> Queue:
+    """A store of three, with a service at one address that bears a rate, and its shard 0."""
+    queue = Queue("s0", "b0", 0, Table(), Choice("z0", "s0"), 600.0, True)
+    queue.view = View((1, 1), huts={f"s{at}": Hut(f"b{at}", f"z{at}") for at in range(3)})
+    queue.owned, queue.lease = {0: (1, 1)}, 1e9
+    service = {"name": "a", "endpoint": "10.0.0.9:80", "maxConns": 50, "ratePerS": rate}
+    queue.configure(0.0, Table(2, DOC | {"backends": [service]}))
+    return queue
+
+
+def shows_all_stores_together_keep_under_a_service_s_rate() -> None:
+    queue, sent, names = at_one_address(10.0), [], itertools.count()
+    for step in range(2000):
+        now = 15.0 * step
+        told = []
+        if step % 10 == 0 and len(queue.held) < 300:  # more than it may be sent, all the time
+            ref = f"00-{next(names)}"
+            told += queue.put(now, HEAD | {"ref": ref, "target": "/b"}, b"x", "edge")
+            told += queue.kept(now, "m", ref)
+        told += queue.tick(now, now)
+        for one in told:
+            if isinstance(one, Deliver):
+                assert one.worker == "@a"
+                sent.append(now)
+                queue.delivered(now, one.ref, one.worker, Verdict(Ran.DONE, "", "seal"))
+                queue.kept(now, "e", one.ref)
+    most = max(sum(at <= other < at + 5000.0 for other in sent) for at in sent)
+    assert 3 * most <= 10.0 * 5.0 * 1.1 + 5.0, most
+    assert len(sent) > 0.9 * 10.0 / 3.0 * 30.0, len(sent)
+
+
+def shows_a_service_at_one_address_is_sent_what_it_takes() -> None:
+    queue = at_one_address(0.0)
+    out = []
+    for at in range(40):
+        told = queue.put(0.0, HEAD | {"ref": f"00-{at}", "target": "/b"}, b"x", "edge")
+        told += queue.kept(0.0, "m", f"00-{at}")
+        out += [one for one in told if isinstance(one, Deliver)]
+    assert len(out) == 4  # nothing tells its size: it begins with few
+    line = queue.choice.workers["@a"].line
+    text = request_of(queue.held[out[0].ref], b"x", line, 900.0)
+    assert (line.host, line.port) == ("10.0.0.9", 80) and b"Target-Instance" not in text
+    for now in range(1, 400):
+        done, out = out, []
+        for one in done:
+            turned = len(done) > 12  # it has twelve places
+            verdict = Verdict(Ran.NOT_RUN, "full") if turned else Verdict(Ran.DONE, "", "seal")
+            told = queue.delivered(200.0 * now, one.ref, "@a", verdict)
+            told += queue.kept(200.0 * now, "e", one.ref)
+            out += [one for one in told if isinstance(one, Deliver)]
+        ref = f"00-more{now}"
+        for at in range(20):
+            told = queue.put(200.0 * now, HEAD | {"ref": f"{ref}-{at}", "target": "/b"}, b"x", "edge")
+            told += queue.kept(200.0 * now, "m", f"{ref}-{at}")
+            out += [one for one in told if isinstance(one, Deliver)]
+    assert 6 <= queue.choice.workers["@a"].window <= 16, queue.choice.workers["@a"].window
+
+
 class Orders(RuleBasedStateMachine):
     """Two operators who race, repeat themselves and err: one version after the other, none of them twice."""
 
