Tell clients of what a store was taking that it may have been taken, as it lets go

Letting go of a shard, a store answered 'not the owner' for messages it was just taking, whose copies the next owner ran; the edge put them elsewhere too, or refused them. Change: 'may' with that answer, so that the edge stays with the shard. The walks' client now goes elsewhere as the edge does, and TWICE and REFUSED are judged by its request.

--- a/sableford/margherita/takeover.py
+++ b/sableford/margherita/takeover.py
@@ -107,8 +107,8 @@
         for message in self.held.values():
             if message.shard != shard:
                 continue
-            for waiter in message.waiters:
-                self._say(Reply(waiter, {"no": "owner"}))
+            for waiter in message.waiters:  # copies may be with others: the next owner takes it, or knows
+                self._say(Reply(waiter, {"no": "owner", "may": True}))
             message.waiters = []
             message.away = ""
             self._taking.pop(message.ref, None)
--- a/sableford/margherita/walk.py
+++ b/sableford/margherita/walk.py
@@ -95,6 +95,9 @@
         self.keys: dict[str, str] = {}
         self.ended: dict[str, float] = {}
         self.done_at: dict[str, float] = {}  # a success whose answer was read
+        self.first: dict[str, str] = {}  # under another name: the name that it was put under first
+        self.refused: set[str] = set()  # answered that it never runs
+        self.started: set[str] = set()
         self.fails: dict[str, int] = {}
         self.seals: dict[str, set[str]] = {}
         self.trouble: list[tuple[float, float]] = []
@@ -579,7 +582,7 @@
             )
             return
         if good:
-            self.done_at.setdefault(ref, self.now)
+            self.done_at.setdefault(self.first.get(ref, ref), self.now)
         verdict = Verdict(Ran.DONE, "", seal) if good else Verdict(Ran.FAILED, "failed")
         self.later(self._way(), self._over, store, birth, ref, worker, verdict)
 
@@ -607,6 +610,9 @@
     def _put(self, ref: str, shard: int, key: str, id: str, delay: float, since: float, again: bool) -> None:
         if self.now > since + 1300.0:
             self._note(ref, "given up on", again)
+            if not again:
+                self.refused.add(self.first.get(ref, ref))
+                self._never(ref)
             return
         owner = self.edge_view.owners[shard]
         store = self.stores.get(owner)
@@ -625,10 +631,10 @@
                 self._note(ref, "accepted", owner)
             else:
                 unclear = word is None or bool(word.get("may"))
-                self.later(25.0, self._put, ref, shard, key, id, delay, since, again or unclear)
+                self._put_later(ref, shard, key, id, delay, since, again or unclear)
 
         if store is None or not store.alive or not self._reach("edge", owner):
-            self.later(25.0, self._put, ref, shard, key, id, delay, since, again)
+            self._put_later(ref, shard, key, id, delay, since, again)
             return
         birth = store.birth
         self.later(
@@ -640,8 +646,26 @@
         )
         self.later(700.0, answered, None)
 
+    def _put_later(
+        self, ref: str, shard: int, key: str, id: str, delay: float, since: float, again: bool
+    ) -> None:
+        """What surely was not taken, and has no key, is put elsewhere."""
+        if not key and not again:
+            shard = self.draw.randrange(60)
+            other, first = f"{shard:02d}-{id}", self.first.get(ref, ref)
+            if other != ref:
+                self._note(ref, "put elsewhere", other)
+                self.sent.setdefault(other, self.sent[ref])
+                self.keys[other], self.first[other], ref = "", first, other
+        self.later(25.0, self._put, ref, shard, key, id, delay, since, again)
+
     # What is wrong
 
+    def _never(self, ref: str) -> None:
+        first = self.first.get(ref, ref)
+        if first in self.refused and first in self.started:
+            raise self._wrong("REFUSED", first, ref)
+
     def _note(self, ref: str, what: str, *facts: Any) -> None:
         self.seen.setdefault(ref, []).append(Seen(round(self.now, 1), what, facts))
 
@@ -650,9 +674,12 @@
 
     def _starts(self, ref: str, owner: str) -> None:
         self._note(ref, "starts", owner)
-        done = self.done_at.get(ref)
+        first = self.first.get(ref, ref)
+        self.started.add(first)
+        self._never(ref)
+        done = self.done_at.get(first)
         if done is not None and self.now > done + 50.0 and self._calm():
-            raise self._wrong("TWICE", ref)
+            raise self._wrong("TWICE", first, ref)
         if key := self.keys[ref]:
             for other, at in self.accepted.items():
                 if (
@@ -665,7 +692,7 @@
 
     def _wrong(self, rule: str, *refs: str) -> Wrong:
         lines = [f"{rule} in walk {self.seed} at {self.now:.1f}"]
-        for ref in refs:
+        for ref in dict.fromkeys(refs):
             lines += [f"  {ref}: {seen.at} {seen.what} {seen.facts}" for seen in self.seen[ref]]
         lines += [f"  trouble {start:.0f} to {end:.0f}" for start, end in self.trouble]
         return Wrong("\n".join(lines))
