Let a leader without a fresh majority grant nothing and move nothing

Ruled out: the election, the others' leases, the taking over. Change: leases, members gone and views only within 300 ms of what a majority has answered; so a new leader waits 300 ms and a lease. Walks and a test with a leader cut off pass.

--- a/sableford/fleet/record/core.py
+++ b/sableford/fleet/record/core.py
@@ -37,6 +37,7 @@
 
 BEAT = 100.0  # ms between two words of a leader: five in the shortest election time
 ELECTION = 500.0  # ms without a leader before one stands, up to twice as long by chance
+ROUNDS = 40  # of which it is remembered when they went out
 STRAY = 1000.0  # ms a leader goes on without a majority; then it leads no more
 LATE = 200.0  # ms: a tick so late is this process's own fault, and no reason to stand
 HAIL = 200.0  # ms between two hails
@@ -159,11 +160,12 @@
 
 
 class _Follower:
-    __slots__ = ("back_at", "heard", "match", "next", "round")
+    __slots__ = ("back_at", "heard", "match", "next", "round", "said_to")
 
     def __init__(self, last: int, now: float) -> None:
         self.back_at = -1e12  # when it was last fed anew from where it said
         self.next, self.match, self.round, self.heard = last + 1, 0, 0, now
+        self.said_to = -1e12  # when the newest word went out that it has answered
 
 
 class _Offer:
@@ -229,6 +231,7 @@
         self._pre = False
         self._followers: dict[str, _Follower] = {}
         self._round = self._beat_at = 0
+        self._round_at: dict[int, float] = {}  # when the last rounds went out
         self._reads: list[tuple[int, int, str, int]] = []  # round, offer, asker, its birth
         self._learners: dict[str, tuple[str, int, float]] = {}  # by name: id, how far, when
         self._waiting: deque[tuple[int, list[Effect]]] = deque()  # until the disk has said so
@@ -556,6 +559,12 @@
             for name in self._followers.keys() - self._voters.keys():
                 del self._followers[name]
 
+    def fresh(self, now: float, within: float) -> bool:
+        """Whether it leads, and a majority has answered what went out at most so many ms ago. Whoever wins an
+        election does so after the last answer that a leader of before could count."""
+        lately = [name for name, one in self._followers.items() if now - one.said_to <= within]
+        return self.leads and self._majority([*lately, self.name])
+
     def _lead(self, now: float) -> list[Effect]:
         near = [name for name, one in self._followers.items() if now - one.heard < STRAY]
         if not self._majority([*near, self.name]):
@@ -571,6 +580,8 @@
 
     def _beat(self, now: float) -> list[Effect]:
         self._round += 1
+        self._round_at[self._round] = now
+        self._round_at.pop(self._round - ROUNDS, None)
         out: list[Effect] = []
         for name, one in self._followers.items():
             if one.next <= self.last and now - one.heard >= BEAT * 2:
@@ -608,6 +619,7 @@
             return []
         one = self._followers[sender]
         one.heard, one.round = now, max(one.round, word.round)
+        one.said_to = max(one.said_to, self._round_at.get(word.round, -1e12))
         self._note(sender, word.id, word.term, word.last if word.yes else 0)
         if word.yes:
             one.match = max(one.match, min(word.last, self.last))
--- a/sableford/leconte/council.py
+++ b/sableford/leconte/council.py
@@ -11,7 +11,7 @@
     configured              the operator's word in force         news; Done once all members have it
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -22,7 +22,7 @@
     1000.0  # ms: some longer than most elections, and what is put to a silent store waits for it to run out
 )
 RENEW = 200.0  # ms between renewals: four in a lease may be lost
-STRAY = 1000.0  # ms that a leader cut off may go on granting leases (the record's)
+FRESH = 300.0  # ms since a majority's answer for which a leader goes on granting leases and giving out shards
 APPLIED = 600.0  # ms that an acknowledgement to the outside waits for members to apply what it is about
 ABSENT = 2000.0  # ms a store may be away before the others do without it; should it return, it is compared
 MISSED = 3.2  # beats missed: then a worker is gone
@@ -109,6 +109,7 @@
     def __init__(self, heartbeat_ms: float) -> None:
         self.beat_ms = heartbeat_ms
         self.leads = False
+        self.fresh: Callable[[float], bool] = lambda now: True  # whether no other can have taken the lead
         self.term = 0
         self.members: dict[str, Member] = {}
         self.roster: list[str] = []
@@ -229,7 +230,7 @@
     def renewed(self, now: float, name: str, said: dict) -> bool:
         """Whether it is a member still; else it must join again. True prolongs its lease from now on."""
         member = self.members.get(name)
-        if member is None or member.birth != said["birth"] or now > member.until:
+        if member is None or member.birth != said["birth"] or now > member.until or not self.fresh(now):
             return False
         member.until = now + LEASE
         member.audits = said.get("audits") or {}
@@ -260,6 +261,8 @@
     def tick(self, now: float) -> list[Effect]:
         if not self.leads:
             return []
+        if not self.fresh(now):  # cut off, it took everyone for gone and told all clients' edges so
+            return self._served(now)
         out: list[Effect] = []
         for name in [name for name, member in self.members.items() if now > member.until]:
             out += self._gone(now, name, "its lease ran out")
@@ -358,10 +361,12 @@
 
     def _steer(self, now: float) -> list[Effect]:
         """The next view, where something is to change and may."""
+        if not self.fresh(now):
+            return []
         if not self._warm:
             known = set(self.roster)
             pending = [name for name in known if name not in self.members and name not in self._over]
-            if not known or (pending and now < self._since + STRAY + LEASE):
+            if not known or (pending and now < self._since + FRESH + LEASE):
                 return []
             self._warm = True
             self._adopt()
--- a/sableford/leconte/lodge.py
+++ b/sableford/leconte/lodge.py
@@ -21,13 +21,14 @@
 from sableford.fleet.record import words as record_words
 from sableford.fleet.record.core import Record, put
 from sableford.leconte import book
-from sableford.leconte.council import Council, Done, News, Register, Strike
+from sableford.leconte.council import FRESH, Council, Done, News, Register, Strike
 from sableford.leconte.folder import Folder
 from sableford.margherita.disk import Disk
 from sableford.trailhead.life import Life
 
 TICK = 40.0  # ms between two looks at leases
 ABSENT = 3500.0  # ms a voter may be away before another is to vote: a planned restart takes less
+RENEW_AGAIN, RENEW_PAUSE = 5, 50.0  # times, ms: a renewal is kept while no majority has answered lately
 OFFER = 3000.0  # ms for the core to agree on an order; its caller asks again
 MOST = 1_048_576  # bytes of one value: some of the largest configurations that a call may carry
 CONFIG, ROSTER = "config", "roster"
@@ -41,6 +42,7 @@
         self._member, self._life, self._losses = life.member, life, life.settings.tolerates.machine_loss
         self._loop = asyncio.get_running_loop()
         self.council = Council(life.settings.heartbeat_ms)
+        self.council.fresh = lambda now: self._record is not None and self._record.fresh(now, FRESH)
         self._lines: dict[str, Link] = {}
         self._answers: dict[int, asyncio.Future] = {}
         self._done: dict[int, asyncio.Future] = {}
@@ -314,7 +316,7 @@
         self._enrol(self.now())
 
     def join(self, link: Link, head: dict) -> None:
-        if not self.leads or head["least"] > self.council.term:
+        if not self.leads or head["least"] > self.council.term or not self.council.fresh(self.now()):
             hint = self._record.leader if self._record is not None else self._member.leader
             link.answer(head, {"ok": False, "leader": hint if hint != self.me else ""})
             return
@@ -323,7 +325,12 @@
         link.answer(head, {"ok": True, "term": self.council.term, "voters": self._record.settled_voters()})
         self._council(self.council.joined(self.now(), name, head))
 
-    def renew(self, link: Link, head: dict) -> None:
+    def renew(self, link: Link, head: dict, again: int = RENEW_AGAIN) -> None:
+        leads = self.leads and self._lines.get(link.peer) is link
+        if leads and again and not self.council.fresh(self.now()):
+            # A lost packet between voters; its lease still runs, and it waits for an answer.
+            self._loop.call_later(RENEW_PAUSE / 1000.0, self.renew, link, head, again - 1)
+            return
         ok = self.leads and self._lines.get(link.peer) is link and head["term"] <= self.council.term
         ok = ok and self.council.renewed(self.now(), link.peer, head)
         if ok:
--- a/tests/trail.py
+++ b/tests/trail.py
@@ -21,6 +21,7 @@
 from sableford.fleet.record.core import Add, Cut, Held, Meta, Record, Send, Standing, Store, Whole, put
 from sableford.fleet.record.words import Entry
 from sableford.leconte import book
+from sableford.leconte.council import FRESH, Council, News
 from sableford.leconte.folder import Folder
 from sableford.leconte.lodge import Lodge
 from sableford.leconte.member import Member
@@ -556,6 +557,30 @@
     assert gone not in leader.settled_voters()
 
 
+def shows_a_leader_without_a_majority_grants_nothing_and_moves_nothing() -> None:
+    fleet = Voters("abc")
+    assert fleet.run(3000.0, lambda: fleet.leader() is not None and bool(fleet.leader().settled_voters()))
+    leader = fleet.leader()
+    assert fleet.run(300.0, lambda: leader.fresh(fleet.now, FRESH))
+    council = Council(1200.0)
+    council.fresh = lambda now: leader.fresh(now, FRESH)
+    council.lead(fleet.now, leader.term)
+    council.enrol(fleet.now, ["a", "b"])
+    said = {"role": "store", "zone": "z", "node": "n"}
+    for name in "ab":
+        council.joined(fleet.now, name, said | {"birth": name})
+    assert council.view.number != (0, 0) and council.renewed(fleet.now, "a", {"birth": "a"})
+    number = council.view.number
+    fleet.deaf.add(leader.name)
+    for _ in range(90):  # it hears nobody, and takes nobody for gone either
+        fleet.run(10.0)
+        if leader.leads:
+            fleet.do(leader.name, leader.tick(fleet.now))
+        told = council.tick(fleet.now)
+        assert council.view.number == number and not [one for one in told if isinstance(one, News)]
+    assert not council.renewed(fleet.now, "a", {"birth": "a"})
+
+
 def shows_voters_back_from_a_loss_of_power_lead_soon_though_one_has_lost_its_disk() -> None:
     fleet = Voters("abc")
     assert fleet.run(3000.0, lambda: fleet.leader() is not None and bool(fleet.leader().settled_voters()))
