--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -23,6 +23,7 @@
     legacy,
     lodge,
     members,
+    order,
     pairs,
     record,
     rig,
@@ -32,8 +33,8 @@
 from tests.helper import play, play_sockets, scenarios
 
 MODULES = (
-    actors, adapter, command, crowd, fleet, gates, handover, joined, legacy, lodge, members, pairs, record,
-    rig, trail, upgrade,
+    actors, adapter, command, crowd, fleet, gates, handover, joined, legacy, lodge, members, order, pairs,
+    record, rig, trail, upgrade,
 )  # fmt: skip
 HUNG = 180.0  # s for one test, three times what a scene of several processes has
 
