Refuse plainly what waits for a shard that cannot open, and let edges know such shards

Cause: in halves (core_cut, split) the half with the majority can't open the other half's shards. Puts for these were parked without a bound, the edge's 700 ms ran out, and an unclear put can go nowhere else: half of all messages ended with 504, held to their end. Change: a store parks only what has nowhere else to go, and for 400 ms since the takeover began at most; then the answer is a plain refusal. Edges try another shard at once for what has no key, and answer 503 with Retry-After for keys whose shards have been closed for longer than any change of owner (edge/shard_availability.py).

--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -18,10 +18,12 @@
 from sableford.edge.message_fields import FieldError, MessageFields, fields_of, host_of
 from sableford.edge.message_status import final_response
 from sableford.edge.put_progress import PutProgress, outcome_of
+from sableford.edge.shard_availability import ShardAvailability
 from sableford.node.runtime import Runtime
 from sableford.store.protocol import ISOLATED, BodyRequest, PutRequest, StatusRequest, StatusResponse
 from sableford.transport.http import Answer, Bounds, Request
 from sableford.transport.http_server import HttpServer
+from sableford.transport.link import Link
 from sableford.transport.routes import Route, Table
 
 PUT_TIMEOUT_MS = 700.0  # for an owner to answer a put; it may have it then, or not
@@ -37,6 +39,7 @@
 ISOLATED_MS = 150.0  # a store that said that it reaches too few others is passed over for so long
 LEAVE_MS = 2300.0  # after SIGTERM: two missed looks at whether it is ready
 LEAVE_MARGIN_MS = 800.0  # of the grace period that are left for closing
+MAX_ELSEWHERE = 4  # shards that are tried one right after the other for what may go to any
 CLIENT_ID = re.compile(r"[A-Za-z0-9._-]{1,58}")
 STATUS_PATH, BODY_PATH, READINESS_PATH = "/v1/message/", "/v1/message-body/", "/v1/readiness"
 NO_MESSAGE = b'{"reason":"no such message"}'
@@ -55,6 +58,7 @@
         self._owned_shards: list[int] = []
         self._turn = 0
         self._isolated_until: dict[str, float] = {}  # stores that take nothing now
+        self._availability = ShardAvailability()
 
     async def run(self) -> None:
         """Until it is told to end, and its clients are answered."""
@@ -99,6 +103,7 @@
         self._shards_in_zone = [
             at for at in self._owned_shards if view.live_stores[view.owners[at]].zone == zone
         ]
+        self._availability.view_changed(view)
         self.log.event("view", number=view.number, owned=len(self._owned_shards))
 
     def _knows_configuration(self) -> bool:
@@ -148,33 +153,57 @@
         until = now + max(MIN_WAIT_MS, wait_ms)
         hold_until = min(until, now + min(HOLD_MS, patience_ms * HOLD_PART))
         put = self._put_request(request, fields)
-        progress = PutProgress()
+        progress, elsewhere = PutProgress(), 0
         while True:
             changed = self.member.changed
-            owner = self.member.view.owners[put.shard] if put.shard >= 0 else ""
-            # Put to a store that has fallen silent it could only be answered with 504.
-            link = self.links.responsive_link(owner)
-            if link is None and progress.unclear:
-                link = self.links.link(owner)
+            link = self._link_for(put, progress)
             if link is not None:
                 put = replace(put, is_retry=progress.unclear, age_ms=self.runtime.now() - now)
                 timeout_ms = min(PUT_TIMEOUT_MS, max(MIN_PUT_TIMEOUT_MS, until - self.runtime.now()))
                 outcome, why = outcome_of(await link.call(put, request.body, timeout_ms))
                 progress.add(outcome)
                 if progress.kept:
+                    self._availability.accepted(put.shard)
                     return Answer(202, b"", (("Message-Ref", put.ref),))
-                if why == ISOLATED:
-                    self._isolated_until[owner] = self.runtime.now() + ISOLATED_MS
+                self._note_refusal(put, why)
             may_settle = progress.unclear and self._any_store_responds()
             if self.runtime.now() >= (until if may_settle else hold_until):
                 break
+            if not progress.unclear and not self._may_open_soon(put):
+                return _refusal("its shard is not served now")
             if not fields.key and not progress.unclear:
                 put = _put_to(put, self._next_shard())
+                if put.shard >= 0 and elsewhere < MAX_ELSEWHERE:
+                    elsewhere += 1
+                    continue
             await _wait(changed, RETRY_MS)
         if progress.status() == 504:
             return Answer(504, b'{"reason":"not known whether it was taken"}')
         return _refusal("no store could take it", 0)
 
+    def _link_for(self, put: PutRequest, progress: PutProgress) -> Link | None:
+        """To the owner of its shard, where that may take it now."""
+        if put.shard < 0:
+            return None
+        owner, now = self.member.view.owners[put.shard], self.runtime.now()
+        if progress.unclear:
+            return self.links.responsive_link(owner) or self.links.link(owner)
+        # Put to a store that has fallen silent it could only be answered with 504.
+        link = self.links.responsive_link(owner)
+        if link is None:
+            self._availability.unreachable(now, put.shard)
+        return None if self._availability.is_passed_over(now, put.shard) else link
+
+    def _note_refusal(self, put: PutRequest, why: str) -> None:
+        now = self.runtime.now()
+        if why == ISOLATED:
+            self._isolated_until[self.member.view.owners[put.shard]] = now + ISOLATED_MS
+        self._availability.refused(now, put.shard)
+
+    def _may_open_soon(self, put: PutRequest) -> bool:
+        """False for what can go to one shard only, which too few stores are left to open."""
+        return not put.key or not self._availability.is_closed_for_long(self.runtime.now(), put.shard)
+
     def _put_request(self, request: Request, fields: MessageFields) -> PutRequest:
         shard = shard_of(fields.key) if fields.key else self._next_shard()
         return PutRequest(
@@ -197,20 +226,25 @@
         return any(self.links.responsive_link(name) is not None for name in view.live_stores)
 
     def _next_shard(self) -> int:
-        """A shard for what has no key: of a store in the own zone, one after the other."""
+        """A shard for what has no key: of a store in the own zone, one after the other; where all have lately
+        refused, any. -1 where no owner takes anything."""
         now = self.runtime.now()
-        for pool in (self._shards_in_zone, self._owned_shards):
-            for _ in range(len(pool)):
-                self._turn += 1
-                shard = pool[self._turn % len(pool)]
-                owner = self.member.view.owners[shard]
-                if (
-                    self.links.responsive_link(owner) is not None
-                    and self._isolated_until.get(owner, 0.0) <= now
-                ):
-                    return shard
+        for passes_over in (True, False):
+            for pool in (self._shards_in_zone, self._owned_shards):
+                for _ in range(len(pool)):
+                    self._turn += 1
+                    shard = pool[self._turn % len(pool)]
+                    if passes_over and self._availability.is_passed_over(now, shard):
+                        continue
+                    if self._owner_takes_puts(now, shard):
+                        return shard
         return -1
 
+    def _owner_takes_puts(self, now: float, shard: int) -> bool:
+        owner = self.member.view.owners[shard]
+        is_isolated = self._isolated_until.get(owner, 0.0) > now
+        return self.links.responsive_link(owner) is not None and not is_isolated
+
     # What became of a message
 
     async def _state(self, ref: str) -> Answer:
--- a/sableford/store/acceptance.py
+++ b/sableford/store/acceptance.py
@@ -15,6 +15,7 @@
 from sableford.store.protocol import (
     ISOLATED,
     NOT_OWNER,
+    OPENING,
     FinalState,
     MessageHeader,
     PutRequest,
@@ -24,9 +25,12 @@
 from sableford.store.replica_placement import ReplicaPlacement
 
 MAX_PARKED = 2000  # puts that wait for a shard to be taken over; more are refused
+PARK_MS = 400.0  # since a takeover began that puts wait for it: longer than most take; one that takes longer
+# waits for stores that are away, and an edge waits only so long for an answer that is a clear one
 
 KEPT = PutResponse(kept=True)
 REFUSED = PutResponse(refusal=NOT_OWNER)
+REFUSED_OPENING = PutResponse(refusal=OPENING)
 REFUSED_MAYBE_KEPT = PutResponse(refusal=NOT_OWNER, maybe_kept=True)  # others may have it
 
 
@@ -38,6 +42,13 @@
     waiter: Any
 
 
+class ParkedPut(NamedTuple):
+    """A put that waits for its shard to be taken over, until then."""
+
+    put: Put
+    until: float
+
+
 class PutLookup:
     """Other stores are asked whether they know a message."""
 
@@ -59,15 +70,15 @@
     ) -> None:
         self._state, self._placement, self._order = state, placement, order
         self._replication, self._final_states = replication, final_states
-        self._parked: dict[int, list[Put]] = {}  # by shard
+        self._parked: dict[int, list[ParkedPut]] = {}  # by shard, the oldest first
         self._lookups: dict[str, PutLookup] = {}  # by ref
 
     def put(self, now: float, put: Put) -> None:
         """A message from an edge."""
         state, request = self._state, put.request
         shard, ref = request.shard, request.ref
-        if state.is_being_taken_over(shard) and len(self._parked.setdefault(shard, [])) < MAX_PARKED:
-            self._parked[shard].append(put)
+        if state.is_being_taken_over(shard):
+            self._park(now, put)
             return
         if shard not in state.owned or not state.holds_lease(now):
             self._respond(put, REFUSED)
@@ -86,6 +97,17 @@
         else:
             self._accept(now, put)
 
+    def _park(self, now: float, put: Put) -> None:
+        """What can go to any other shard does not wait for this one."""
+        request = put.request
+        until = self._state.takeovers[request.shard].begun_at + PARK_MS
+        parked = self._parked.setdefault(request.shard, [])
+        may_go_elsewhere = not request.key and not request.is_retry
+        if may_go_elsewhere or now > until or len(parked) >= MAX_PARKED:
+            self._respond(put, REFUSED_OPENING)
+        else:
+            parked.append(ParkedPut(put, until))
+
     def _respond(self, put: Put, response: PutResponse) -> None:
         self._state.emit(RespondToPut(put.waiter, response))
 
@@ -144,13 +166,21 @@
 
     def refuse_parked(self, shard: int) -> None:
         """The shard will not be served here."""
-        for put in self._parked.pop(shard, []):
-            self._respond(put, REFUSED)
+        for parked in self._parked.pop(shard, []):
+            self._respond(parked.put, REFUSED)
+
+    def refuse_overdue_parked(self, now: float) -> None:
+        """Their shard is not open in time: too few stores are there to say what they hold."""
+        for shard, parked in list(self._parked.items()):
+            while parked and now > parked[0].until:
+                self._respond(parked.pop(0).put, REFUSED_OPENING)
+            if not parked:
+                del self._parked[shard]
 
     def take_parked(self, now: float, shard: int) -> None:
         """The shard is served here from now on."""
-        for put in self._parked.pop(shard, []):
-            self.put(now, put)
+        for parked in self._parked.pop(shard, []):
+            self.put(now, parked.put)
 
     def release(self, shard: int) -> None:
         """The shard is served here no more."""
--- a/sableford/store/protocol.py
+++ b/sableford/store/protocol.py
@@ -72,6 +72,7 @@
 
 
 NOT_OWNER = "owner"  # the message's shard is another store's
+OPENING = "opening"  # the store is to serve the shard, and does not know yet what others hold of it
 ISOLATED = "alone"  # the store reaches too few others for a message to be safe
 
 
--- a/sableford/store/queue.py
+++ b/sableford/store/queue.py
@@ -110,6 +110,7 @@
         self._acceptance.check_all(now)
         self._endings.copy_due(now)
         self._acceptance.end_overdue_lookups(now)
+        self._acceptance.refuse_overdue_parked(now)
         self._results.report_again(now)
         self._takeover.ask_all(now)
         self._replication.copy_waiting(now)
--- a/sableford/store/shard_takeover.py
+++ b/sableford/store/shard_takeover.py
@@ -64,7 +64,7 @@
         for name in sorted(gone):
             self._choice.forget(name)
         self._release_lost(mine)
-        self._begin_takeovers(mine)
+        self._begin_takeovers(now, mine)
         self._forget_holders(now, gone)
         for takeover in self.under_way():
             for name in gone:
@@ -110,7 +110,7 @@
                 message.state = State.REPLICA
             self._order.forget_key(message)
 
-    def _begin_takeovers(self, mine: dict[int, Number]) -> None:
+    def _begin_takeovers(self, now: float, mine: dict[int, Number]) -> None:
         state = self._state
         for takeover in self.under_way():
             takeover.shards &= mine.keys()
@@ -120,7 +120,7 @@
         fresh = {shard for shard in mine if shard not in state.owned and shard not in state.takeovers}
         if not fresh:
             return
-        takeover = Takeover(state.next_round(), fresh)
+        takeover = Takeover(state.next_round(), fresh, now)
         for shard in fresh:
             state.takeovers[shard] = takeover
 
--- a/sableford/store/simulation/faults.py
+++ b/sableford/store/simulation/faults.py
@@ -130,6 +130,8 @@
             case "gone":  # with its disk, and nobody comes in its place
                 if sum(one.alive for one in self.stores.values()) > 3:
                     self.end(name)
+            case "split":
+                self._cut_in_halves(down)
             case "relieve":
                 self._cut_off_and_kill_the_others(name, down)
             case "core":
@@ -165,6 +167,14 @@
         self.later(down, self.cut.difference_update, pairs)
         self.later(down, self._kill_all_but, name)
 
+    def _cut_in_halves(self, down: float) -> None:
+        """Half of the stores hear nothing of the others, nor of the leader; edges reach all of them."""
+        names = sorted(self.stores)
+        away = set(self.draw.sample(names, len(names) // 2))
+        pairs = {frozenset((one, other)) for one in away for other in [*names, "core"] if other not in away}
+        self.cut |= pairs
+        self.later(down, self.cut.difference_update, pairs)
+
     def _kill_all_but(self, name: str) -> None:
         self._forget_leader()
         for store in [one for one in self.stores.values() if one.alive and one.name != name]:
--- a/sableford/store/takeover.py
+++ b/sableford/store/takeover.py
@@ -4,10 +4,10 @@
 class Takeover:
     """Shards that are being taken over together: whom to ask, who has answered, what is known.
 
-    `number` is that of its questions to other stores."""
+    `number` is that of its questions to other stores. `begun_at`: ms of the steady clock."""
 
-    def __init__(self, number: int, shards: set[int]) -> None:
-        self.number, self.shards = number, shards
+    def __init__(self, number: int, shards: set[int], begun_at: float) -> None:
+        self.number, self.shards, self.begun_at = number, shards, begun_at
         self.asked: dict[str, str] = {}  # stores with their incarnation
         self.answered: dict[str, bool] = {}  # stores, and whether their disk is complete
         self.finished_deliveries: set[tuple[str, str]] = set()  # by store and ref: known to be over
--- /dev/null
+++ b/tests/closed_shards.py
@@ -0,0 +1,137 @@
+"""Shards that nobody can open: what is put there waits no longer than it may be of use."""
+
+import asyncio
+
+from msgspec.structs import replace
+
+from sableford.control.timing import LEASE_MS
+from sableford.control.view import SHARDS, StoreInfo, View
+from sableford.edge.shard_availability import FORGET_MS, PASS_OVER_MS, TAKEOVER_MS, ShardAvailability
+from sableford.store.acceptance import PARK_MS, REFUSED_OPENING
+from sableford.store.choice import Choice
+from sableford.store.messages import RespondToPut
+from sableford.store.queue import Queue
+from sableford.store.simulation import DOC
+from sableford.transport.routes import Table
+from tests.edge_gateway import Owner, asked, edge
+from tests.memory_network import simulated
+from tests.store_fences import PUT
+
+LONG_MS = LEASE_MS + TAKEOVER_MS
+
+
+def half_of_four() -> Queue:
+    """s0 is to serve all; of the four stores of the roster two are on the other side of a partition."""
+    queue = Queue("s0", "b0", 1, Table(1, DOC), Choice("z0", "s0"), 600.0, True)
+    queue.state.lease = 1e9
+    live_stores = {name: StoreInfo(f"b{name[1]}", f"z{name}") for name in ("s0", "s1")}
+    roster = [f"s{at}" for at in range(4)]
+    view = View((1, 1), ["s0"] * SHARDS, ["b0"] * SHARDS, [(1, 1)] * SHARDS, live_stores, roster)
+    queue.apply_view(0.0, view)
+    assert queue.state.is_being_taken_over(0)
+    return queue
+
+
+def responses(effects: list) -> list[RespondToPut]:
+    return [effect for effect in effects if isinstance(effect, RespondToPut)]
+
+
+def shows_what_may_go_to_any_shard_does_not_wait_for_one_that_is_being_taken_over() -> None:
+    assert responses(half_of_four().put(0.0, PUT, b"x", "edge")) == [RespondToPut("edge", REFUSED_OPENING)]
+
+
+def shows_a_put_of_a_key_is_plainly_refused_if_its_shard_does_not_open() -> None:
+    """And one that may have come before, which can go nowhere else."""
+    for put in (replace(PUT, key="k"), replace(PUT, is_retry=True)):
+        queue = half_of_four()
+        assert not responses(queue.put(100.0, put, b"x", "edge"))
+        assert not responses(queue.tick(PARK_MS, 0.0))
+        assert responses(queue.tick(PARK_MS + 1.0, 0.0)) == [RespondToPut("edge", REFUSED_OPENING)]
+        assert not responses(queue.tick(PARK_MS + 2.0, 0.0))
+        # From then on it waits for stores that are away: nobody is held.
+        assert responses(queue.put(PARK_MS + 3.0, put, b"x", "edge")) == [
+            RespondToPut("edge", REFUSED_OPENING)
+        ]
+        assert not queue.state.messages
+
+
+def two_owners() -> View:
+    """Of even shards s0 is the owner, of odd ones s1; the last ten went to s1 later, together."""
+    owners = ["s0" if shard % 2 == 0 and shard < SHARDS - 10 else "s1" for shard in range(SHARDS)]
+    epochs = [(1, 1)] * (SHARDS - 10) + [(1, 2)] * 10
+    return View((1, 2), owners, [""] * SHARDS, epochs, {name: StoreInfo("b", "z") for name in ("s0", "s1")})
+
+
+def availability() -> ShardAvailability:
+    shards = ShardAvailability()
+    shards.view_changed(two_owners())
+    return shards
+
+
+def shows_a_shard_is_closed_for_long_only_past_a_lease_and_a_takeover() -> None:
+    for note in (ShardAvailability.refused, ShardAvailability.unreachable):
+        shards = availability()
+        for now in range(0, int(LONG_MS) + 1, 100):
+            assert not shards.is_closed_for_long(float(now), 7)
+            note(shards, float(now), 7)
+        later = LONG_MS + 1.0
+        assert [shards.is_closed_for_long(later, at) for at in (7, 9, 8, 59)] == [True, True, False, False]
+        shards.accepted(9)
+        note(shards, LONG_MS + 200.0, 7)
+        assert not shards.is_closed_for_long(LONG_MS + 201.0, 7)
+
+
+def shows_an_owner_that_refused_is_asked_again_after_a_while() -> None:
+    shards = availability()
+    shards.unreachable(0.0, 7)
+    assert not shards.is_passed_over(0.0, 7)
+    shards.refused(0.0, 7)
+    assert shards.is_passed_over(PASS_OVER_MS - 1.0, 7) and not shards.is_passed_over(PASS_OVER_MS, 7)
+
+
+def shows_what_was_seen_of_a_shard_is_forgotten() -> None:
+    came_back = {"s0": StoreInfo("b", "z"), "s1": StoreInfo("c", "z")}
+    for forget in (
+        lambda shards: shards.view_changed(replace(two_owners(), live_stores=came_back)),
+        lambda shards: shards.view_changed(replace(two_owners(), epochs=[(1, 3)] * SHARDS)),
+        lambda shards: shards.refused(LONG_MS + FORGET_MS + 2.0, 7),
+    ):
+        shards = availability()
+        for now in (0.0, LONG_MS):
+            shards.refused(now, 7)
+        assert shards.is_closed_for_long(LONG_MS + 1.0, 7)
+        forget(shards)
+        assert not shards.is_closed_for_long(LONG_MS + FORGET_MS + 3.0, 7)
+
+
+def shows_an_edge_puts_what_has_no_key_to_an_open_shard_at_once() -> None:
+    """Every shard of s0 is being opened; s1 serves its own."""
+
+    async def scene() -> tuple[int, float]:
+        stores = {"s0": Owner(*[{"no": "opening"}] * 99), "s1": Owner(*[{"kept": True}] * 99)}
+        gate, loop = edge(stores), asyncio.get_running_loop()
+        begun = loop.time()
+        for number in range(20):
+            fields = (b"attempt-id", b"%d" % number), (b"deadline-ms", b"4000")
+            assert (await asked(gate, "/b/1", *fields)).status == 202
+        return len(stores["s0"].puts), loop.time() - begun
+
+    puts, seconds = simulated(lambda loop: scene())
+    assert puts <= 30 and seconds < 0.1, (puts, seconds)
+
+
+def shows_an_edge_refuses_at_once_what_is_of_a_key_whose_shard_stays_closed() -> None:
+    async def scene() -> list[float]:
+        stores = {"s0": Owner(*[{"no": "opening"}] * 999)}
+        gate, loop, waits = edge(stores), asyncio.get_running_loop(), []
+        for number in range(8):
+            begun = loop.time()
+            fields = (b"attempt-id", b"%d" % number), (b"order-key", b"k"), (b"deadline-ms", b"1500")
+            answer = await asked(gate, "/a/1", *fields)
+            assert answer.status == 503 and "Retry-After" in dict(answer.headers)
+            waits.append((loop.time() - begun) * 1000.0)
+        return waits
+
+    waits = simulated(lambda loop: scene())
+    # Held as long as the shard may just be changing hands; each edge asks its owner now and then after that.
+    assert min(waits[:2]) > 100.0 and max(waits[3:]) < 10.0, waits
