Count a newcomer as caught up by rounds, so that writes do not keep it from voting

Cause: a store with a new disk was voted in only where one of its fetches held all that was agreed on at the last heartbeat. Change: progress in rounds (Ongaro's dissertation, 4.2.1): a round ends once the newcomer holds what was agreed on when the round began, and one that took no longer than an election counts.

--- a/sableford/consensus/raft_state.py
+++ b/sableford/consensus/raft_state.py
@@ -89,11 +89,28 @@
 
 
 class Learner(NamedTuple):
-    """What a leader knows of one that fetches."""
+    """What a leader knows of one that fetches. Its progress is measured in rounds (Ongaro's dissertation,
+    4.2.1): a round ends once it holds all that was agreed on when the round began."""
 
     id: str
     caught_up: bool
     heard: float
+    goal: int = 0  # the last index of this round
+    began: float = 0.0  # this round
+
+    def fetched(self, now: float, have: int, round_commit: int, commit: int) -> "Learner":
+        """It holds all up to `have`. `round_commit`: agreed on when the last heartbeats went out; `commit`:
+        agreed on now. While entries are agreed on all the time it holds no more than the last round's."""
+        is_quick = now - self.began <= ELECTION_TIMEOUT
+        if have < round_commit and have < self.goal:
+            return self._replace(caught_up=self.caught_up and is_quick, heard=now)
+        caught_up = have >= round_commit or is_quick
+        return Learner(self.id, caught_up, now, commit, now)
+
+
+def learner(id: str, now: float, commit: int) -> Learner:
+    """One that fetches for the first time."""
+    return Learner(id, False, now, commit, now)
 
 
 def _without_gap(held: StoredState) -> StoredState:
--- a/sableford/consensus/snapshots.py
+++ b/sableford/consensus/snapshots.py
@@ -17,7 +17,7 @@
 )
 from sableford.consensus.effects import AppendToLog, Effect, LogEvent, Send, SnapshotInstalled, TruncateLog
 from sableford.consensus.messages import Entry, FetchRequest, FetchResponse, Kind, SnapshotChunk
-from sableford.consensus.raft_state import FetchedSnapshot, Learner, RaftState, entry_size
+from sableford.consensus.raft_state import FetchedSnapshot, RaftState, entry_size, learner
 from sableford.consensus.state_machine import Snapshot
 
 
@@ -105,8 +105,7 @@
 
     def _handle_fetch_request(self, now: float, sender: str, message: FetchRequest) -> list[Effect]:
         if self.leads:
-            # It holds all that was agreed on when the last heartbeats went out.
-            self._learners[sender] = Learner(message.id, message.have >= self._round_commit, now)
+            self._note_fetch(now, sender, message)
         if (follower := self._followers.get(sender)) is not None:
             follower.fetched_at = now
         if message.have < self.first - 1 and self.snapshot is not None:
@@ -118,6 +117,12 @@
             for first, entries in batches
         ]
 
+    def _note_fetch(self, now: float, sender: str, message: FetchRequest) -> None:
+        known = self._learners.get(sender)
+        if known is None or known.id != message.id:
+            known = learner(message.id, now, self.commit)
+        self._learners[sender] = known.fetched(now, message.have, self._round_commit, self.commit)
+
     def _batches(self, first: int) -> list[tuple[int, tuple[Entry, ...]]]:
         """Agreed entries from `first` on, as many as go at once: the first index and entries of each
         message, at least one."""
--- a/sableford/consensus/voter_changes.py
+++ b/sableford/consensus/voter_changes.py
@@ -10,8 +10,9 @@
                                      too, must live
     lost its folder     remove       as silent; its name can stand for one folder only
 
-A newcomer counts once it holds all that was agreed on when the last heartbeats went out. A leader changes
-voters only after an entry of its own term was agreed on (Ongaro, raft-dev, 2015), and one change at a time.
+A newcomer counts once it holds all that was agreed on when the last heartbeats went out, or when its last
+round of fetches began, if that took no longer than an election. A leader changes voters only after an entry
+of its own term was agreed on (Ongaro, raft-dev, 2015), and one change at a time.
 """
 
 import msgspec
@@ -19,7 +20,7 @@
 from sableford.consensus.constants import FETCH_INTERVAL, SILENT
 from sableford.consensus.effects import AppendToLog, Effect, LogEvent, Send
 from sableford.consensus.messages import Entry, Kind
-from sableford.consensus.raft_state import Follower, Learner, RaftState
+from sableford.consensus.raft_state import Follower, RaftState, learner
 
 
 class VoterChanges(RaftState):
@@ -45,8 +46,9 @@
     def _note_other_disk(self, now: float, name: str, id: str) -> None:
         """A process of that name has another folder than the one that votes."""
         known = self._learners.get(name)
-        caught_up = known is not None and known.id == id and known.caught_up
-        self._learners[name] = Learner(id, caught_up, now)
+        if known is None or known.id != id:
+            known = learner(id, now, self.commit)
+        self._learners[name] = known._replace(heard=now)
 
     def _is_silent(self, now: float, name: str) -> bool:
         one = self._followers.get(name)
--- a/tests/control_mistakes.py
+++ b/tests/control_mistakes.py
@@ -20,7 +20,6 @@
 from sableford.consensus.effects import OwnVoteCounts
 from sableford.consensus.messages import AppendRequest, AppendResponse
 from sableford.consensus.raft_node import RaftNode
-from sableford.consensus.raft_state import Learner
 from sableford.consensus.state_machine import StateMachine
 from sableford.control import configuration_keeper, order_process, orders, roster_manager
 from sableford.control.member_client import MemberClient
@@ -162,7 +161,7 @@
     """How far a joining voter has come is not looked at."""
 
     def change(self: RaftNode, now: float) -> list:
-        self._learners = {name: Learner(one.id, True, one.heard) for name, one in self._learners.items()}
+        self._learners = {name: one._replace(caught_up=True) for name, one in self._learners.items()}
         return original(self, now)
 
     return change
--- a/tests/record_voters.py
+++ b/tests/record_voters.py
@@ -1,9 +1,11 @@
 """Plain asserts on changes of the record's voters, in simulated time: what each step bears, and walks in
 which voters are replaced at random."""
 
+from sableford.consensus.constants import ELECTION_TIMEOUT
 from sableford.consensus.effects import Persist, Standing
 from sableford.consensus.messages import FetchRequest, FetchResponse, Kind
 from sableford.consensus.raft_node import RaftNode, put
+from sableford.consensus.raft_state import learner
 from sableford.consensus.simulation.growth import Group
 from sableford.consensus.simulation.walk import Walk
 from tests.record_growth import level, value
@@ -87,6 +89,39 @@
         assert ("d" in leader.voters()) is joins, have
 
 
+def shows_a_newcomer_is_added_while_entries_are_agreed_on_all_the_time() -> None:
+    """Each of its fetches, one a heartbeat, brought all there was; yet by the next heartbeat there was more,
+    so that it counted as caught up only where no entry came for as long: after up to a minute."""
+    group = Group("abc")
+    leader, has = group.led(), 0
+    group.run(300.0)
+    leader.wanted = ("a", "b", "c", "d")
+    for number in range(6):
+        fetch = FetchRequest("folder of d", has)
+        has = leader.commit
+        group.trial.do(leader.name, leader.heard(group.trial.now, "d", 1, fetch))
+        for more in range(3):
+            assert group.agreed(put(f"k{number}-{more}", b"v"))
+        group.run(100.0)
+        if "d" in leader.voters():
+            break
+    assert number <= 2, number
+
+
+def shows_a_newcomer_that_falls_behind_is_not_caught_up() -> None:
+    """Each of its rounds takes longer than an election."""
+    one, now = learner("folder", 0.0, 100), 0.0
+    for at in range(1, 20):
+        now += ELECTION_TIMEOUT + 1.0
+        one = one.fetched(now, at * 100, at * 100 + 50, (at + 1) * 100)
+        assert not one.caught_up
+    quick = one.fetched(now + 100.0, one.goal, one.goal + 50, one.goal + 80)
+    assert quick.caught_up
+    behind = (quick.goal - 1, quick.goal + 90, quick.goal + 99)
+    assert quick.fetched(now + 200.0, *behind).caught_up
+    assert not quick.fetched(now + 101.0 + ELECTION_TIMEOUT, *behind).caught_up
+
+
 def shows_a_removed_voter_learns_of_it_and_goes_on_reading() -> None:
     """It stood for ever among voters that did not know it, and what it held grew old."""
     group, _, _ = replaced(living=True)
