--- a/sableford/node/cli.py
+++ b/sableford/node/cli.py
@@ -107,12 +107,7 @@
 
 def main(words: list[str] | None = None) -> int:
     application = Application("sableford", "0.3.0")
-    commands = [EdgeCommand(), StoreCommand(), Check()]
-    if "scale" in (sys.argv[1:] if words is None else words)[:1]:  # nothing of it is loaded by a machine
-        from sableford.scale.command import ScaleCommand
-
-        commands.append(ScaleCommand())
-    for command in commands:
+    for command in (EdgeCommand(), StoreCommand(), Check()):
         application.add(command)
     application.auto_exits(False)
     if words is None:
