--- a/sableford/store/simulation/__init__.py
+++ b/sableford/store/simulation/__init__.py
@@ -63,6 +63,7 @@
         self.accepted: dict[str, float] = {}
         self.sent: dict[str, float] = {}
         self.keys: dict[str, str] = {}
+        self.due: dict[str, float] = {}  # by the first name: when its delay is over
         self.ended: dict[str, float] = {}
         self.done_at: dict[str, float] = {}  # a success whose answer was read
         self.first: dict[str, str] = {}  # under another name: the name that it was put under first
--- a/sableford/store/simulation/faults.py
+++ b/sableford/store/simulation/faults.py
@@ -132,6 +132,8 @@
                     self.end(name)
             case "split":
                 self._cut_in_halves(down)
+            case "kill_all":
+                self._kill_all_but("")
             case "relieve":
                 self._cut_off_and_kill_the_others(name, down)
             case "core":
--- a/sableford/store/simulation/judge.py
+++ b/sableford/store/simulation/judge.py
@@ -4,7 +4,7 @@
 
 from sableford.store.messages import State
 from sableford.store.queue_state import COMPLETE
-from sableford.store.simulation.model import CALM, Seen, Wrong
+from sableford.store.simulation.model import CALM, EARLY_MS, MOST_FAILURES, Seen, Wrong
 from sableford.store.simulation.network import Network
 
 
@@ -25,6 +25,7 @@
         first = self.first.get(ref, ref)
         self.started.add(first)
         self._never(ref)
+        self._budget_and_delay(ref, first)
         done = self.done_at.get(first)
         if done is not None and self.now > done + 50.0 and self._calm():
             raise self._wrong("TWICE", first, ref)
@@ -38,6 +39,13 @@
                 ):
                     raise self._wrong("ORDER", ref, other)
 
+    def _budget_and_delay(self, ref: str, first: str) -> None:
+        """A message that fails at each run is given up on, however many owners it had; none runs early."""
+        if self.fails.get(ref, 0) >= MOST_FAILURES:
+            raise self._wrong("BUDGET", first, ref)
+        if self.now < self.due[first] - EARLY_MS:
+            raise self._wrong("EARLY", first, ref)
+
     def _wrong(self, rule: str, *refs: str) -> Wrong:
         lines = [f"{rule} in walk {self.seed} at {self.now:.1f}"]
         for ref in dict.fromkeys(refs):
--- a/sableford/store/simulation/model.py
+++ b/sableford/store/simulation/model.py
@@ -10,6 +10,9 @@
 SYNC = (2.0, 6.0)  # ms of one commit
 READ = (1.0, 4.0)  # ms until a message's bytes are read
 WAY = (0.2, 1.2)  # ms of one word
+MAX_TRIES = 3  # failures after which a message is a dead letter
+MOST_FAILURES = 3 * MAX_TRIES  # runs that fail, whatever owners knew of the ones before (BUDGET)
+EARLY_MS = 300.0  # before the end of its delay that a message may begin (`notBeforeMs` and 200 ms)
 CALM = 4000.0  # ms without trouble before a run again after a success counts as wrong
 SYNC_MS = 4600.0  # ms after its return that a machine still counts as lost (`syncS`)
 GRACE_MS = 6000.0  # ms from the order to end to the kill (`graceS`)
@@ -29,9 +32,23 @@
 )
 DOC = {
     "routes": [
-        {"name": "a", "hostname": "h", "pathPrefix": "/a", "backend": "a", "deadlineMs": 1000, "maxTries": 3}
+        {
+            "name": "a",
+            "hostname": "h",
+            "pathPrefix": "/a",
+            "backend": "a",
+            "deadlineMs": 1000,
+            "maxTries": MAX_TRIES,
+        }
         | {"fifo": True, "retentionS": 300, "startTargetMs": 1200},
-        {"name": "b", "hostname": "h", "pathPrefix": "/b", "backend": "a", "deadlineMs": 1000, "maxTries": 3}
+        {
+            "name": "b",
+            "hostname": "h",
+            "pathPrefix": "/b",
+            "backend": "a",
+            "deadlineMs": 1000,
+            "maxTries": MAX_TRIES,
+        }
         | {"retentionS": 300, "startTargetMs": 1200},
     ],
     "backends": [{"name": "a"}],
--- a/sableford/store/simulation/traffic.py
+++ b/sableford/store/simulation/traffic.py
@@ -3,7 +3,7 @@
 from sableford.control.view import shard_of
 from sableford.store.protocol import PutRequest, PutResponse
 from sableford.store.simulation.judge import Judge
-from sableford.store.simulation.model import READ, SimulatedStore
+from sableford.store.simulation.model import MAX_TRIES, READ, SimulatedStore
 from sableford.transport.verdict import Execution, Verdict
 
 
@@ -84,7 +84,7 @@
             self.ended.setdefault(ref, self.now)
         else:
             self.fails[ref] = self.fails.get(ref, 0) + 1
-            if self.fails[ref] >= 3:
+            if self.fails[ref] >= MAX_TRIES:
                 self.ended.setdefault(ref, self.now)
         if lost or not self._up(store.name, incarnation):
             self.later(
@@ -118,6 +118,7 @@
         ref = f"{shard:02d}-{id}"
         self.sent[ref], self.keys[ref] = self.now, key
         delay = self.draw.uniform(0.0, self._delay_ms) if not key and self.draw.random() < 0.2 else 0.0
+        self.due[ref] = self.now + delay
         self._note(ref, "sent", key)
         self._put(ref, shard, key, id, delay, self.now, False)
 
