Let a store without its disk not vouch for what it does not know

Cause: an edge answered 404 for a message, or pending for one that had ended, once so many stores had answered that one who knew would be among them; a store that had lost its disk and come back counted among these. With a second store cut off meanwhile (losses may overlap, as long as no more disks are lost than tolerated) an accepted message would be answered 404. The same count decides whether a put that may have come before is taken anew.

--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -16,7 +16,7 @@
 from sableford.control.protocol import ConfigurationVersion
 from sableford.control.view import SHARDS, View, ref_of, shard_in, shard_of
 from sableford.edge.message_fields import FieldError, MessageFields, fields_of, host_of
-from sableford.edge.message_status import final_response
+from sableford.edge.message_status import StoreResponse, final_response
 from sableford.edge.put_progress import PutProgress, outcome_of
 from sableford.edge.shard_availability import ShardAvailability
 from sableford.node.runtime import Runtime
@@ -265,20 +265,29 @@
         """The owner's response; where it has none, what the others' responses come to."""
         owner, *others = self._sources(shard)
         of_owner = await self._status_of(owner, ref)
-        responses = [] if of_owner is None else [of_owner]
-        if (found := final_response(responses, of_owner, self._sufficient())) is not None:
+        heard = [] if of_owner is None else [of_owner]
+        owner_response = of_owner.response if of_owner is not None else None
+        if (found := final_response(heard, owner_response, self._sufficient())) is not None:
             return found
-        heard = await asyncio.gather(*(self._status_of(name, ref) for name in others))
-        responses += [response for response in heard if response is not None]
-        return final_response(responses, of_owner, self._sufficient())
+        further = await asyncio.gather(*(self._status_of(name, ref) for name in others))
+        heard += [one for one in further if one is not None]
+        return final_response(heard, owner_response, self._sufficient())
 
-    async def _status_of(self, name: str, ref: str) -> StatusResponse | None:
+    async def _status_of(self, name: str, ref: str) -> StoreResponse | None:
         """None where the store did not answer, or spoke of another message."""
         link = self.links.responsive_link(name)
         if link is None:
             return None
         response = (await link.call(StatusRequest(ref), b"", STORE_TIMEOUT_MS)).message
-        return response if response is not None and response.ref in ("", ref) else None
+        if response is None or response.ref not in ("", ref):
+            return None
+        return StoreResponse(response, self._is_complete(name, link))
+
+    def _is_complete(self, name: str, link: Link) -> bool:
+        """Whether the store at the other end holds all that it ever said to hold: what it does not know of
+        says nothing otherwise. A process that the view does not show yet may have lost its disk."""
+        store = self.member.view.live_stores.get(name)
+        return store is not None and store.complete and store.incarnation == link.incarnation
 
     async def _bytes(self, ref: str) -> Answer:
         """From the owner or any other store: a message's bytes are the same wherever they are."""
@@ -296,7 +305,7 @@
                     continue
                 if result.message.found:
                     return Answer(200, result.body, kind="application/octet-stream")
-                without_it += 1
+                without_it += self._is_complete(name, link)
             if without_it >= max(1, self._sufficient()):
                 return Answer(404, NO_MESSAGE)
             await _wait(changed, RETRY_MS * 2.0)
--- a/sableford/store/acceptance.py
+++ b/sableford/store/acceptance.py
@@ -223,9 +223,16 @@
         one after any borne loss: with more stores unheard it may have run, and is not taken anew."""
         lookup = self._lookups.pop(ref)
         is_known = self._is_known(ref)
-        answered = ({self._state.me} | self._state.other_stores()) - lookup.unanswered
+        answered = self._complete_stores() - lookup.unanswered
         for put in lookup.puts:
             if is_known or self._placement.can_open(answered):
                 self.put(now, put._replace(request=replace(put.request, is_retry=False)))
             else:
                 self._respond(put, REFUSED_MAYBE_KEPT)
+
+    def _complete_stores(self) -> set[str]:
+        """Those that would know what they have ever been told: this one and others, but for any that has lost
+        its disk."""
+        state = self._state
+        complete = {name for name, store in state.view.live_stores.items() if store.complete}
+        return complete - {state.me} | ({state.me} if state.complete else set())
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -358,12 +358,17 @@
 )
 
 
-def put_again(answers: dict[str, LookupResponse | None], live: str = "ab") -> list[PutResponse | str]:
-    """What a store does on it, by what its others `a` and `b` answer; who is not named says nothing."""
+def put_again(
+    answers: dict[str, LookupResponse | None], live: str = "ab", incomplete: str = ""
+) -> list[PutResponse | str]:
+    """What a store does on it, by what its others `a` and `b` answer; who is not named says nothing.
+    `incomplete`: those that have lost their disks."""
     queue = Queue("me", "m", 1, Table(1, DOC), Choice("z", "me"), 600.0, True)
     stores = ["me", *live]
     queue.state.view = View(
-        (1, 1), live_stores={name: StoreInfo(name, "z") for name in stores}, roster=["a", "b", "me"]
+        (1, 1),
+        live_stores={name: StoreInfo(name, "z", complete=name not in incomplete) for name in stores},
+        roster=["a", "b", "me"],
     )
     queue.state.owned, queue.state.lease = {0: (1, 1)}, 1e9
     effects = [*queue.put(0.0, PUT, b"x", "edge")]
@@ -386,3 +391,11 @@
     assert put_again({}) == put_again({"a": None, "b": None}) == [unclear]  # silence, or a broken link
     assert put_again({"a": no}, live="a") == ["taken"]
     assert put_again({}, live="a") == put_again({"a": None}, live="a") == [unclear]
+
+
+def shows_the_word_of_a_store_without_its_disk_does_not_let_a_put_be_taken_anew() -> None:
+    """a lost its disk, so that it knows of nothing; b, which knows the end, is silent."""
+    no = LookupResponse()
+    unclear = PutResponse(refusal="owner", maybe_kept=True)
+    assert put_again({"a": no}, incomplete="a") == [unclear]
+    assert put_again({"a": no, "b": no}, incomplete="a") == ["taken"]
--- a/tests/edge_gateway.py
+++ b/tests/edge_gateway.py
@@ -27,6 +27,8 @@
     """What an edge sees of a store: a link, and responses to what is asked there, one after the other, as
     they come over the wire."""
 
+    incarnation = "b"  # as the view shows it
+
     def __init__(self, *answers: dict | CallResult) -> None:
         self.answers, self.puts = list(answers), []
 
@@ -225,6 +227,35 @@
         assert answer.status == wanted[0] and wanted[1] in (None, answer.body), answers
 
 
+def shows_a_store_without_its_disk_does_not_say_that_a_message_is_unknown_or_pending() -> None:
+    """s0 and s1 had it, s1 its end. s0 came back with an empty disk; s1 is cut off."""
+
+    def answered(path: str, answers: list, complete: bool, incarnation: str) -> int:
+        async def scene() -> Answer:
+            stores = {f"s{at}": Owner(*[answer] * 60) for at, answer in enumerate(answers)}
+            gate = edge(stores)
+            gate.member.view.live_stores["s0"].complete = complete
+            stores["s0"].incarnation = incarnation
+            return await asked(gate, path + REF, method="GET")
+
+        return simulated(lambda loop: scene()).status
+
+    nothing, pending = [NOTHING, BROKEN, NOTHING], [NOTHING, BROKEN, PENDING]
+    for complete, incarnation, statuses in (
+        (True, "b", (404, 200, 404)),
+        (False, "b", (503, 503, 503)),
+        (True, "later", (503, 503, 503)),  # no view shows it yet
+    ):
+        found = (
+            answered("/v1/message/", nothing, complete, incarnation),
+            answered("/v1/message/", pending, complete, incarnation),
+            answered(
+                "/v1/message-body/", [{"found": False}, BROKEN, {"found": False}], complete, incarnation
+            ),
+        )
+        assert found == statuses, (complete, incarnation, found)
+
+
 def shows_a_field_with_no_sense_or_two_is_refused_by_its_name() -> None:
     def answer_to(*fields: tuple[bytes, bytes], path: str = "/b/1", method: str = "POST"):
         async def scene(loop) -> tuple[Answer, list[dict]]:
