Gather the simulations in one package above the parts that they play

Cause: simulations stood inside store, control and consensus, and the membership's among the modules in service. Nothing in service imports it. No line of what a machine runs has changed.

--- a/sableford/control/simulation/__main__.py
+++ b/sableford/simulation/control/__main__.py
@@ -1,4 +1,4 @@
-"""Walks over a range of seeds: `python -m sableford.control.simulation --seeds 0:500 --jobs 4`."""
+"""Walks over a range of seeds: `python -m sableford.simulation.control --seeds 0:500 --jobs 4`."""
 
 import argparse
 import os
@@ -7,8 +7,8 @@
 from collections import Counter
 from multiprocessing import Pool
 
-from sableford.control.simulation.judges import Finding
-from sableford.control.simulation.walk import ControlSimulation, Shape
+from sableford.simulation.control.judges import Finding
+from sableford.simulation.control.walk import ControlSimulation, Shape
 
 STORY_LINES = 60  # of a finding that are printed without --story
 
@@ -34,7 +34,7 @@
 
 
 def arguments() -> argparse.Namespace:
-    parser = argparse.ArgumentParser(prog="sableford.control.simulation")
+    parser = argparse.ArgumentParser(prog="sableford.simulation.control")
     parser.add_argument("--seeds", default="0:100", help="first:end")
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
--- a/sableford/control/simulation/cluster.py
+++ b/sableford/simulation/control/cluster.py
@@ -12,11 +12,11 @@
 from unittest import mock
 
 from sableford.common.settings import Addresses, Settings, Tolerates
-from sableford.control.simulation.disk import Platter, SimulatedDisk
-from sableford.control.simulation.event_loop import Process, Run, SimulatedLoop
-from sableford.control.simulation.network import Network
-from sableford.control.simulation.programs import EdgeProgram, Program, StoreProgram
 from sableford.node import runtime as node_runtime
+from sableford.simulation.control.disk import Platter, SimulatedDisk
+from sableford.simulation.control.event_loop import Process, Run, SimulatedLoop
+from sableford.simulation.control.network import Network
+from sableford.simulation.control.programs import EdgeProgram, Program, StoreProgram
 from sableford.transport.http import Answer, Request
 
 INNER_PORT, CONTROL_PORT = 7300, 8262
--- a/sableford/control/simulation/disk.py
+++ b/sableford/simulation/control/disk.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from sableford.common.disk import DiskFullError
-from sableford.control.simulation.event_loop import Process
+from sableford.simulation.control.event_loop import Process
 
 SYNC_MS = 2.0  # for one synced commit, give or take half
 Puts = list[tuple[bytes, bytes | None]]
--- a/sableford/control/simulation/faults.py
+++ b/sableford/simulation/control/faults.py
@@ -10,9 +10,9 @@
 from random import Random
 from typing import Any
 
-from sableford.control.simulation.cluster import Cluster, Machine
-from sableford.control.simulation.judges import Judges
-from sableford.control.simulation.operators import Retirer
+from sableford.simulation.control.cluster import Cluster, Machine
+from sableford.simulation.control.judges import Judges
+from sableford.simulation.control.operators import Retirer
 
 AFTER_ACK_MS = 400.0  # within which a fault that follows an acknowledgement comes
 FAULTS_SHORT_MS = 200.0, 3000.0
--- a/sableford/control/simulation/judges.py
+++ b/sableford/simulation/control/judges.py
@@ -17,7 +17,7 @@
 
 from sableford.common.settings import Bounds
 from sableford.control.protocol import ConfigurationVersion
-from sableford.control.simulation.cluster import Cluster
+from sableford.simulation.control.cluster import Cluster
 
 POLL_MS = 100.0  # between two looks at members, calls under way and workers
 STORY = 600  # events kept for the story of a finding
--- a/sableford/control/simulation/network.py
+++ b/sableford/simulation/control/network.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import NamedTuple
 
-from sableford.control.simulation.event_loop import Process, Run, SimulatedLoop
+from sableford.simulation.control.event_loop import Process, Run, SimulatedLoop
 
 USER_TIMEOUT_S = 1.6  # data that is not acknowledged for so long ends its connection, as links set it
 SYN_AGAIN_S = 1.0  # an opening packet is sent again after so long
--- a/sableford/control/simulation/operators.py
+++ b/sableford/simulation/control/operators.py
@@ -6,8 +6,8 @@
 
 import orjson
 
-from sableford.control.simulation.cluster import Cluster
-from sableford.control.simulation.judges import OPEN, Judges, Order
+from sableford.simulation.control.cluster import Cluster
+from sableford.simulation.control.judges import OPEN, Judges, Order
 from sableford.transport.http import Answer
 
 REDIRECTS = 2
--- a/sableford/control/simulation/programs.py
+++ b/sableford/simulation/control/programs.py
@@ -12,10 +12,10 @@
 from sableford.common.settings import Settings
 from sableford.control.record_storage import RecordStorage
 from sableford.control.service import ControlService
-from sableford.control.simulation.disk import SimulatedDisk
-from sableford.control.simulation.event_loop import Process
 from sableford.control.view import View
 from sableford.node.runtime import Runtime, StoreStatus
+from sableford.simulation.control.disk import SimulatedDisk
+from sableford.simulation.control.event_loop import Process
 from sableford.transport.errors import CallError
 from sableford.transport.http import Answer, Request
 from sableford.transport.link import IncomingMessage
--- a/sableford/control/simulation/walk.py
+++ b/sableford/simulation/control/walk.py
@@ -7,12 +7,12 @@
 
 from sableford.common.settings import Bounds
 from sableford.control.protocol import ConfigurationVersion
-from sableford.control.simulation.cluster import SNAP_AFTER, SNAP_KEEP, Cluster, surroundings
-from sableford.control.simulation.event_loop import Process, SimulatedLoop
-from sableford.control.simulation.faults import Faults
-from sableford.control.simulation.judges import Finding, Judges
-from sableford.control.simulation.operators import Caller, Operator
-from sableford.control.simulation.workers import Worker
+from sableford.simulation.control.cluster import SNAP_AFTER, SNAP_KEEP, Cluster, surroundings
+from sableford.simulation.control.event_loop import Process, SimulatedLoop
+from sableford.simulation.control.faults import Faults
+from sableford.simulation.control.judges import Finding, Judges
+from sableford.simulation.control.operators import Caller, Operator
+from sableford.simulation.control.workers import Worker
 
 BEGIN_S = 12.0  # at most, for all to come together the first time: traffic begins no sooner
 STOP_S = 26.0  # at most, for faults under way to end
@@ -91,7 +91,7 @@
             if value is not False and value != ()
         )
         given = given.replace("--exceed True", "--exceed")
-        return f"python -m sableford.control.simulation --seeds {self.seed}:{self.seed + 1} {given} --story"
+        return f"python -m sableford.simulation.control --seeds {self.seed}:{self.seed + 1} {given} --story"
 
     def _until(self, seconds: float, done: Callable[[], bool] = lambda: False) -> None:
         """So many seconds further, or until it is done."""
--- a/sableford/control/simulation/workers.py
+++ b/sableford/simulation/control/workers.py
@@ -5,9 +5,9 @@
 
 import orjson
 
-from sableford.control.simulation.cluster import Cluster
-from sableford.control.simulation.judges import Judges, Leaving
-from sableford.control.simulation.operators import Caller
+from sableford.simulation.control.cluster import Cluster
+from sableford.simulation.control.judges import Judges, Leaving
+from sableford.simulation.control.operators import Caller
 from sableford.transport.http import Answer
 
 BEAT_MS = 1200.0  # heartbeatMs of the settings
--- a/sableford/control/membership_simulation.py
+++ b/sableford/simulation/membership/walk.py
@@ -16,10 +16,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from sableford.control.membership_model import MembershipModel, SimulatedStore
 from sableford.control.presence import Presence
 from sableford.control.roster import Roster
 from sableford.control.voter_selection import Candidate, bearable, select_voters
+from sableford.simulation.membership.model import MembershipModel, SimulatedStore
 
 BEGUN = 4000.0  # ms: all have come together for the first time
 TAKEOVER_WAIT = 3500.0  # ms: an election, a new leader's wait for old leases, the change of the roster
--- a/sableford/store/simulation/__init__.py
+++ b/sableford/simulation/stores/__init__.py
@@ -13,13 +13,13 @@
 from sableford.control.protocol import ConfigurationVersion
 from sableford.control.view import View
 from sableford.control.workers import Worker
+from sableford.simulation.stores.effects import Effects
+from sableford.simulation.stores.faults import Faults
+from sableford.simulation.stores.leader import LeaderSide
+from sableford.simulation.stores.model import DOC, FAULTS, Seen, SimulatedStore, Wrong
+from sableford.simulation.stores.store_lives import StoreLives
+from sableford.simulation.stores.traffic import Traffic
 from sableford.store.queue import Queue
-from sableford.store.simulation.effects import Effects
-from sableford.store.simulation.faults import Faults
-from sableford.store.simulation.leader import LeaderSide
-from sableford.store.simulation.model import DOC, FAULTS, Seen, SimulatedStore, Wrong
-from sableford.store.simulation.store_lives import StoreLives
-from sableford.store.simulation.traffic import Traffic
 
 __all__ = ["DOC", "FAULTS", "Simulation", "Wrong"]
 
--- a/sableford/store/simulation/effects.py
+++ b/sableford/simulation/stores/effects.py
@@ -5,6 +5,8 @@
 
 from msgspec.structs import replace
 
+from sableford.simulation.stores.model import SYNC, SimulatedStore
+from sableford.simulation.stores.network import Network
 from sableford.store.messages import (
     AskFinalStates,
     CopyFinalState,
@@ -30,8 +32,6 @@
     PullRequest,
     PullResponse,
 )
-from sableford.store.simulation.model import SYNC, SimulatedStore
-from sableford.store.simulation.network import Network
 
 Reply = Callable[[Any], None]
 
--- a/sableford/store/simulation/faults.py
+++ b/sableford/simulation/stores/faults.py
@@ -6,8 +6,8 @@
 """
 
 from sableford.control.view import View
-from sableford.store.simulation.model import GRACE_MS, SYNC_MS, SimulatedStore
-from sableford.store.simulation.network import Network
+from sableford.simulation.stores.model import GRACE_MS, SYNC_MS, SimulatedStore
+from sableford.simulation.stores.network import Network
 
 PURSUIT = 0.5  # of the faults are followed by another within PURSUIT_MS of the moment they count no more
 PURSUIT_MS = 60.0
--- a/sableford/store/simulation/judge.py
+++ b/sableford/simulation/stores/judge.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
+from sableford.simulation.stores.model import CALM, EARLY_MS, MOST_FAILURES, Seen, Wrong
+from sableford.simulation.stores.network import Network
 from sableford.store.messages import State
 from sableford.store.queue_state import COMPLETE
-from sableford.store.simulation.model import CALM, EARLY_MS, MOST_FAILURES, Seen, Wrong
-from sableford.store.simulation.network import Network
 
 
 class Judge(Network):
--- a/sableford/store/simulation/leader.py
+++ b/sableford/simulation/stores/leader.py
@@ -7,9 +7,9 @@
 from sableford.control.timing import LEASE_MS, RENEW_MS
 from sableford.control.view import View
 from sableford.control.workers import Worker, WorkerTable
+from sableford.simulation.stores.model import SimulatedStore
+from sableford.simulation.stores.network import Network
 from sableford.store.choice import WorkerEntry
-from sableford.store.simulation.model import SimulatedStore
-from sableford.store.simulation.network import Network
 
 
 class LeaderSide(Network):
--- a/sableford/store/simulation/network.py
+++ b/sableford/simulation/stores/network.py
@@ -5,7 +5,7 @@
 from typing import Any
 from zlib import crc32
 
-from sableford.store.simulation.model import WAY, SimulatedStore
+from sableford.simulation.stores.model import WAY, SimulatedStore
 
 
 class Network:
--- a/sableford/store/simulation/store_lives.py
+++ b/sableford/simulation/stores/store_lives.py
@@ -1,11 +1,11 @@
 """The lives of stores: a start from what the disk kept, ends, and what happens from time to time."""
 
 from sableford.control.view import View
+from sableford.simulation.stores.model import MACHINE_LOSS
+from sableford.simulation.stores.network import Network
 from sableford.store.choice import Choice
 from sableford.store.departure import may_end
 from sableford.store.messages import Message
-from sableford.store.simulation.model import MACHINE_LOSS
-from sableford.store.simulation.network import Network
 from sableford.transport.routes import Table
 
 
--- a/sableford/store/simulation/traffic.py
+++ b/sableford/simulation/stores/traffic.py
@@ -1,9 +1,9 @@
 """Workers that run what they are sent, and clients that send it."""
 
 from sableford.control.view import shard_of
+from sableford.simulation.stores.judge import Judge
+from sableford.simulation.stores.model import MAX_TRIES, READ, SimulatedStore
 from sableford.store.protocol import PutRequest, PutResponse
-from sableford.store.simulation.judge import Judge
-from sableford.store.simulation.model import MAX_TRIES, READ, SimulatedStore
 from sableford.transport.verdict import Execution, Verdict
 
 
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -9,6 +9,7 @@
 import orjson
 
 from sableford.control.view import StoreInfo, View
+from sableford.simulation.stores import DOC
 from sableford.store.choice import Choice
 from sableford.store.delivery_order import LOOKUP_MS
 from sableford.store.effect_executor import CALL_TIMEOUT_MS, EffectExecutor
@@ -23,7 +24,6 @@
     PutResponse,
 )
 from sableford.store.queue import Queue
-from sableford.store.simulation import DOC
 from sableford.transport.errors import NotSentError, UnansweredError
 from sableford.transport.frames import Frame, FrameReader, encode_frame
 from sableford.transport.link import CallResult, Link
--- a/tests/closed_shards.py
+++ b/tests/closed_shards.py
@@ -7,11 +7,11 @@
 from sableford.control.timing import LEASE_MS
 from sableford.control.view import SHARDS, StoreInfo, View
 from sableford.edge.shard_availability import FORGET_MS, PASS_OVER_MS, TAKEOVER_MS, ShardAvailability
+from sableford.simulation.stores import DOC
 from sableford.store.acceptance import PARK_MS, REFUSED_OPENING
 from sableford.store.choice import Choice
 from sableford.store.messages import RespondToPut
 from sableford.store.queue import Queue
-from sableford.store.simulation import DOC
 from sableford.transport.routes import Table
 from tests.edge_gateway import Owner, asked, edge
 from tests.memory_network import simulated
--- a/tests/control_incidents.py
+++ b/tests/control_incidents.py
@@ -13,11 +13,11 @@
 from sableford.control.order_process import OrderProcess, ProposalOutcome, Respond
 from sableford.control.orders import State
 from sableford.control.service import ControlService
-from sableford.control.simulation.cluster import Machine, surroundings
-from sableford.control.simulation.judges import Order
-from sableford.control.simulation.operators import canonical, document
-from sableford.control.simulation.walk import ControlSimulation, Shape
 from sableford.control.timing import QUORUM_FRESH_MS
+from sableford.simulation.control.cluster import Machine, surroundings
+from sableford.simulation.control.judges import Order
+from sableford.simulation.control.operators import canonical, document
+from sableford.simulation.control.walk import ControlSimulation, Shape
 from sableford.transport.http import Answer
 
 CUT_S = 20.0
--- a/tests/control_membership.py
+++ b/tests/control_membership.py
@@ -11,8 +11,6 @@
 from sableford.control.coordinator import Coordinator
 from sableford.control.departures import Departures
 from sableford.control.effects import RemoveStore
-from sableford.control.membership_model import SimulatedStore
-from sableford.control.membership_simulation import MembershipSimulation, Wrong
 from sableford.control.presence import KEEPS_SEAT, Presence, PresenceTracker, patience_ms
 from sableford.control.protocol import JoinRequest, RenewRequest
 from sableford.control.retirement import Phase, RetirementRefusedError, begin_retirement, phase_of
@@ -20,6 +18,8 @@
 from sableford.control.service import ControlService
 from sableford.control.view import SHARDS, StoreInfo, View
 from sableford.control.voter_selection import Candidate, Tolerance, seats_needed, select_voters
+from sableford.simulation.membership.model import SimulatedStore
+from sableford.simulation.membership.walk import MembershipSimulation, Wrong
 from sableford.transport.http import Answer, Request
 from tests.control_service import core, joins, run_core
 from tests.record_growth import Group
--- a/tests/control_mistakes.py
+++ b/tests/control_mistakes.py
@@ -27,9 +27,9 @@
 from sableford.control.record_driver import ProposalResult, RecordDriver
 from sableford.control.requests import ConfigurationOrder
 from sableford.control.service import ControlService
-from sableford.control.simulation.judges import Finding
-from sableford.control.simulation.walk import ControlSimulation, Shape
 from sableford.control.workers import Worker, WorkerTable
+from sableford.simulation.control.judges import Finding
+from sableford.simulation.control.walk import ControlSimulation, Shape
 from sableford.transport.frames import Frame
 from sableford.transport.link import Link
 from sableford.transport.messages import PeerRequest
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -4,7 +4,7 @@
 import subprocess
 import sys
 
-from sableford.control.simulation.walk import ControlSimulation, Shape
+from sableford.simulation.control.walk import ControlSimulation, Shape
 
 JOBS = 4
 WITHIN_S = 170.0  # of real time: less than a test may hang
@@ -24,11 +24,11 @@
 
 
 def shows_walks_of_the_control_side_break_no_promise() -> None:
-    run("sableford.control.simulation", "--seeds", "0:40", "--seconds", "8")
+    run("sableford.simulation.control", "--seeds", "0:40", "--seconds", "8")
 
 
 def shows_walks_beyond_what_is_tolerated_stay_safe() -> None:
-    run("sableford.control.simulation", "--seeds", "0:20", "--seconds", "8", "--exceed")
+    run("sableford.simulation.control", "--seeds", "0:20", "--seconds", "8", "--exceed")
 
 
 def shows_a_walk_is_the_same_each_time() -> None:
--- a/tests/edge_gateway.py
+++ b/tests/edge_gateway.py
@@ -11,7 +11,7 @@
 from sableford.edge import gateway
 from sableford.edge.gateway import Gateway
 from sableford.edge.put_progress import PutOutcome, PutProgress
-from sableford.store.simulation import DOC
+from sableford.simulation.stores import DOC
 from sableford.transport.errors import CallError
 from sableford.transport.frames import Frame, read_envelope
 from sableford.transport.http import Answer, Request
--- a/tests/joined.py
+++ b/tests/joined.py
@@ -13,11 +13,11 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from sableford.consensus.simulation.walk import Walk
 from sableford.fleet.cli import table
 from sableford.rig.disk import HANGS
 from sableford.rig.plan import HUNG, Fault, read_plan
 from sableford.rig.world import Outcome, World, story
+from sableford.simulation.consensus.walk import Walk
 
 # A txn's time is far beyond what any machine needs, so that none is lost to a busy one.
 FLEET = """
--- a/tests/lead_start.py
+++ b/tests/lead_start.py
@@ -7,10 +7,10 @@
 from sableford.control.protocol import JoinRequest, RenewRequest
 from sableford.control.view import SHARDS, StoreInfo, View
 from sableford.control.view_flow import MAX_WAIT_MS
+from sableford.simulation.stores import Simulation, Wrong
 from sableford.store.messages import replica_of
 from sableford.store.protocol import CopyRequest
 from sableford.store.queue import Queue
-from sableford.store.simulation import Simulation, Wrong
 from tests.store_fences import with_a_message_out
 
 ROSTER = ["a", "b", "c"]
--- a/tests/order.py
+++ b/tests/order.py
@@ -16,6 +16,7 @@
 from msgspec.structs import replace
 
 from sableford.control.view import SHARDS, StoreInfo, View, shard_of
+from sableford.simulation.stores import DOC
 from sableford.store.choice import Choice, WorkerEntry
 from sableford.store.delivery_order import DeliveryOrder
 from sableford.store.endings import Endings
@@ -23,7 +24,6 @@
 from sableford.store.protocol import PutRequest
 from sableford.store.queue import Queue, QueueParts
 from sableford.store.replica_placement import ReplicaPlacement
-from sableford.store.simulation import DOC
 from sableford.transport.routes import Table
 from sableford.transport.verdict import Execution, Verdict
 
--- a/tests/pairs.py
+++ b/tests/pairs.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from sableford.control.view import Number, View
+from sableford.simulation.stores import Simulation
 from sableford.store import choice as store_choice
 from sableford.store import messages
 from sableford.store.messages import Message, State
@@ -31,7 +32,6 @@
     PutResponse,
 )
 from sableford.store.queue import Queue
-from sableford.store.simulation import Simulation
 from sableford.transport.verdict import Execution, Verdict
 
 LANDED = "863ec06101c9455979cb737f54ec6ce3914f12af"  # renewed with each landing
--- a/tests/record.py
+++ b/tests/record.py
@@ -11,9 +11,9 @@
 from sableford.consensus.log_files import LogFiles, recover
 from sableford.consensus.messages import AppendResponse, Entry, Kind
 from sableford.consensus.raft_node import RaftNode, put
-from sableford.consensus.simulation.explorer import Bounds, Wrong, explore
-from sableford.consensus.simulation.walk import MemoryDisk, Walk
 from sableford.consensus.state_machine import StateMachine
+from sableford.simulation.consensus.explorer import Bounds, Wrong, explore
+from sableford.simulation.consensus.walk import MemoryDisk, Walk
 
 
 class NoLook(RaftNode):
--- a/tests/record_disks.py
+++ b/tests/record_disks.py
@@ -26,8 +26,8 @@
     SnapshotChunk,
 )
 from sableford.consensus.raft_node import RaftNode, put
-from sableford.consensus.simulation.growth import Group
 from sableford.control.record_storage import RecordStorage, RecordWriter
+from sableford.simulation.consensus.growth import Group
 from tests.record_growth import level, value
 
 # Disks that refuse
--- a/tests/record_growth.py
+++ b/tests/record_growth.py
@@ -14,9 +14,9 @@
     SnapshotChunk,
 )
 from sableford.consensus.raft_node import RaftNode, put
-from sableford.consensus.simulation.growth import Group, measure
-from sableford.consensus.simulation.walk import Walk
 from sableford.consensus.state_machine import TAKEN_PAIRS, StateMachine
+from sableford.simulation.consensus.growth import Group, measure
+from sableford.simulation.consensus.walk import Walk
 
 CONFIGURATION = 50_000  # bytes
 
--- a/tests/record_leases.py
+++ b/tests/record_leases.py
@@ -6,8 +6,8 @@
 
 from sableford.consensus.effects import LogEvent, Persist, StoredState
 from sableford.consensus.raft_node import RaftNode
-from sableford.consensus.simulation.walk import Walk, Wrong
 from sableford.control.timing import QUORUM_FRESH_MS
+from sableford.simulation.consensus.walk import Walk, Wrong
 
 SEEDS = range(50)
 HUNTED = range(90, 300)  # a planted mistake shows in 1 of 100 walks; the first of them is soon met here
--- a/tests/record_voters.py
+++ b/tests/record_voters.py
@@ -6,8 +6,8 @@
 from sableford.consensus.messages import FetchRequest, FetchResponse, Kind
 from sableford.consensus.raft_node import RaftNode, put
 from sableford.consensus.raft_state import learner
-from sableford.consensus.simulation.growth import Group
-from sableford.consensus.simulation.walk import Walk
+from sableford.simulation.consensus.growth import Group
+from sableford.simulation.consensus.walk import Walk
 from tests.record_growth import level, value
 
 # Who votes
--- a/tests/store_fences.py
+++ b/tests/store_fences.py
@@ -3,11 +3,11 @@
 from contextlib import suppress
 
 from sableford.control.view import SHARDS, StoreInfo, View
+from sableford.simulation.stores import DOC, Simulation, Wrong
 from sableford.store.choice import Choice, WorkerEntry
 from sableford.store.messages import Deliver, DropReplica, Effect, Pull, State
 from sableford.store.protocol import MessageState, PullResponse, PutRequest
 from sableford.store.queue import Queue
-from sableford.store.simulation import DOC, Simulation, Wrong
 from sableford.transport.routes import Table
 from sableford.transport.verdict import Execution, Verdict
 
--- a/tests/store_full_disk.py
+++ b/tests/store_full_disk.py
@@ -8,11 +8,11 @@
 
 from sableford.common.disk import Disk, DiskFullError
 from sableford.control.view import SHARDS, StoreInfo, View
+from sableford.simulation.stores import DOC, Simulation
 from sableford.store.choice import Choice
 from sableford.store.messages import CopyFinalStates, ListFinalStates
 from sableford.store.protocol import FinalState, PullResponse
 from sableford.store.queue import Queue
-from sableford.store.simulation import DOC, Simulation
 from sableford.transport.routes import Table
 
 
--- a/tests/store_losses.py
+++ b/tests/store_losses.py
@@ -5,11 +5,11 @@
 from hypothesis import strategies as st
 
 from sableford.control.view import SHARDS
+from sableford.simulation.stores import Simulation, Wrong
 from sableford.store.durability import Tolerated, Topology, is_durable, loss_is_borne
 from sableford.store.final_state_replication import FinalStateReplication
 from sableford.store.queue import Queue
 from sableford.store.replica_placement import ReplicaPlacement
-from sableford.store.simulation import Simulation, Wrong
 from tests.order import with_parts
 
 
--- a/tests/system_simulation.py
+++ b/tests/system_simulation.py
@@ -36,6 +36,7 @@
 from sableford.control.timing import QUORUM_FRESH_MS
 from sableford.control.view import SHARDS, StoreInfo, View, shares
 from sableford.node.cli import main
+from sableford.simulation.stores import DOC, Simulation, Wrong
 from sableford.store.choice import Choice, WorkerEntry
 from sableford.store.delivery import request_of, verdict_of
 from sableford.store.delivery_results import DeliveryResults
@@ -46,7 +47,6 @@
 from sableford.store.queue_state import QueueState
 from sableford.store.replica_placement import ReplicaPlacement
 from sableford.store.shard_takeover import ShardTakeover
-from sableford.store.simulation import DOC, Simulation, Wrong
 from sableford.transport.frames import FrameReader, encode_frame
 from sableford.transport.http import Answer, Bounds
 from sableford.transport.http_client import ClientConnection, Response
