Count an owner's word on another store's disk from its newest shard on

Cause: a store that had lost its disk counted as complete by what owners had said before they got the shards of another store that was cut off; these then opened without messages that only the one cut off still had. Change: Coordinator._has_audited asks for a word under a view not older than the owner's newest epoch. The walks ask for states as edges do and end with LOST (answered 404), OLDER or MIXED; a fault overlap.

--- a/sableford/control/coordinator.py
+++ b/sableford/control/coordinator.py
@@ -406,12 +406,16 @@
             # Nobody owns anything yet: on the very first start none has a past.
             return False
         member.complete = all(
-            owner == name or self._has_audited(owner, name, member.incarnation) for owner in owners
+            owner == name or self._has_audited(owner, name, member.incarnation, since)
+            for owner, since in self.view.newest_epochs().items()
         )
         return member.complete
 
-    def _has_audited(self, owner: str, name: str, incarnation: str) -> bool:
-        return owner in self.members and self.members[owner].audits.get(name) == incarnation
+    def _has_audited(self, owner: str, name: str, incarnation: str, since: Number) -> bool:
+        """Whether an owner has compared that store with all its shards, the last of which is its own `since`
+        that view: what it said before it had that one says nothing of its messages."""
+        member = self.members.get(owner)
+        return member is not None and member.safe >= since and member.audits.get(name) == incarnation
 
     # Workers
 
--- a/sableford/simulation/stores/__init__.py
+++ b/sableford/simulation/stores/__init__.py
@@ -63,6 +63,8 @@
         self.accepted: dict[str, float] = {}
         self.sent: dict[str, float] = {}
         self.keys: dict[str, str] = {}
+        self.questions = Random(f"questions {seed}")  # chance of its own: faults are drawn as without it
+        self.told_ended: set[str] = set()  # by an answer to a client
         self.due: dict[str, float] = {}  # by the first name: when its delay is over
         self.ended: dict[str, float] = {}
         self.done_at: dict[str, float] = {}  # a success whose answer was read
--- a/sableford/simulation/stores/faults.py
+++ b/sableford/simulation/stores/faults.py
@@ -14,7 +14,7 @@
 PURSUIT_REPLACED = 0.9  # of the stores that were replaced: another is lost as they go
 EARLY = 0.3  # of the planned replacements begin before their successor counts as whole
 PLANNED = ("term", "planned", "retire")
-DESTROYED = ("wipe", "replace", "gone", "planned", "zone_wipe")
+DESTROYED = ("wipe", "replace", "gone", "planned", "zone_wipe", "overlap")
 
 
 class Faults(Network):
@@ -130,6 +130,8 @@
             case "gone":  # with its disk, and nobody comes in its place
                 if sum(one.alive for one in self.stores.values()) > 3:
                     self.end(name)
+            case "overlap":
+                self._lose_a_disk_and_cut_another(store, down)
             case "split":
                 self._cut_in_halves(down)
             case "kill_all":
@@ -169,6 +171,20 @@
         self.later(down, self.cut.difference_update, pairs)
         self.later(down, self._kill_all_but, name)
 
+    def _lose_a_disk_and_cut_another(self, store: SimulatedStore, down: float) -> None:
+        """Two are lost at once, of which one with its disk: service may rest, nothing may be lost."""
+        self.end(store.name)
+        self._wipe(store)
+        self.later(self.draw.uniform(100.0, 1000.0), self._start_again, store.name)
+        others = [one.name for one in self.stores.values() if one.alive and one is not store]
+        other = self.draw.choice(sorted(others))
+        pairs = {frozenset((other, one)) for one in [*self.stores, "core"] if one != other}
+        if self.draw.random() < 0.5:
+            pairs.add(frozenset((other, "edge")))
+        after = self.draw.uniform(0.0, 600.0)
+        self.later(after, self.cut.update, pairs)
+        self.later(after + down, self.cut.difference_update, pairs)
+
     def _cut_in_halves(self, down: float) -> None:
         """Half of the stores hear nothing of the others, nor of the leader; edges reach all of them."""
         names = sorted(self.stores)
--- a/sableford/simulation/stores/judge.py
+++ b/sableford/simulation/stores/judge.py
@@ -2,9 +2,20 @@
 
 from typing import Any
 
-from sableford.simulation.stores.model import CALM, EARLY_MS, MOST_FAILURES, Seen, Wrong
+from sableford.edge.message_status import StoreResponse, final_response
+from sableford.simulation.stores.model import (
+    ASK_EVERY_MS,
+    ASK_UNTIL_MS,
+    CALM,
+    EARLY_MS,
+    MACHINE_LOSS,
+    MOST_FAILURES,
+    Seen,
+    Wrong,
+)
 from sableford.simulation.stores.network import Network
 from sableford.store.messages import State
+from sableford.store.protocol import StatusResponse
 from sableford.store.queue_state import COMPLETE
 
 
@@ -39,6 +50,39 @@
                 ):
                     raise self._wrong("ORDER", ref, other)
 
+    # What clients are told of a message that was accepted
+
+    def _ask_for_state(self, ref: str) -> None:
+        """As an edge asks, again and again: it may be told nothing, but nothing older, and no 404."""
+        if self.now > self.seconds + ASK_UNTIL_MS:
+            return
+        self.later(self.questions.uniform(*ASK_EVERY_MS), self._ask_for_state, ref)
+        found = self._state_by_an_edge(ref)
+        if found is None:
+            return
+        if found.state is None:
+            raise self._wrong("LOST (answered 404)", ref)
+        if found.has_ended():
+            self.told_ended.add(ref)
+            if found.state.phase == COMPLETE and found.state.seal not in self.seals.get(ref, ()):
+                raise self._wrong("MIXED", ref)
+        elif ref in self.told_ended:
+            raise self._wrong("OLDER", ref)
+
+    def _state_by_an_edge(self, ref: str) -> StatusResponse | None:
+        view, shard = self.edge_view, int(ref[:2])
+        heard, of_owner = [], None
+        for name, info in view.live_stores.items():
+            store = self.stores[name]
+            if not store.alive or store.frozen > self.now or not self._reach("edge", name):
+                continue
+            state = store.queue.state
+            is_owner = shard in state.owned and state.holds_lease(self.now)
+            response = StatusResponse(store.queue.status(ref), ref, is_owner)
+            heard.append(StoreResponse(response, info.complete and info.incarnation == store.incarnation))
+            of_owner = response if name == view.owners[shard] else of_owner
+        return final_response(heard, of_owner, len(view.roster) - MACHINE_LOSS)
+
     def _budget_and_delay(self, ref: str, first: str) -> None:
         """A message that fails at each run is given up on, however many owners it had; none runs early."""
         if self.fails.get(ref, 0) >= MOST_FAILURES:
--- a/sableford/simulation/stores/traffic.py
+++ b/sableford/simulation/stores/traffic.py
@@ -2,7 +2,7 @@
 
 from sableford.control.view import shard_of
 from sableford.simulation.stores.judge import Judge
-from sableford.simulation.stores.model import MAX_TRIES, READ, SimulatedStore
+from sableford.simulation.stores.model import ACCEPTED_KNOWN_MS, MAX_TRIES, READ, SimulatedStore
 from sableford.store.protocol import PutRequest, PutResponse
 from sableford.transport.verdict import Execution, Verdict
 
@@ -151,6 +151,8 @@
                 return
             over.append(True)
             if response is not None and response.kept:
+                if ref not in self.accepted:
+                    self.later(ACCEPTED_KNOWN_MS, self._ask_for_state, ref)
                 self.accepted.setdefault(ref, self.now)
                 self._note(ref, "accepted", owner)
             else:
