--- a/tests/tenant_delivery.py
+++ b/tests/tenant_delivery.py
@@ -524,3 +524,13 @@
         finally:
             Gateway._put_request = as_it_is
         raise AssertionError(f"{mistake.__name__} was not found out")
+
+
+# UNASKED: a worker runs a message whose Order-Key isn't the sender's (its route keeps no order).
+def shows_an_order_key_is_passed_on_where_no_order_is_kept() -> None:
+    stores = owned_by_s0()
+    taken = one(message(PLAIN, "k1-secret", "Order-Key: k"))
+    (request,) = stores.requests("s0", stores.accept(0.0, taken))
+    assert request.get(b"order-key") == "k"
+    other = one(message(PLAIN, "k1-secret", "Order-Key: k", id="i2"))
+    assert len(stores.requests("s0", stores.accept(0.0, other))) == 1, "it waits for the first"
