Show that a body in an unknown transfer coding is handed on as plain bytes

Cause: the parser takes any list of codings that ends with chunked; the codings before it are neither taken off nor passed on (RFC 9112, 6.1: 501). The worker runs other bytes than its client meant.

--- a/tests/tenant_delivery.py
+++ b/tests/tenant_delivery.py
@@ -534,3 +534,11 @@
     assert request.get(b"order-key") == "k"
     other = one(message(PLAIN, "k1-secret", "Order-Key: k", id="i2"))
     assert len(stores.requests("s0", stores.accept(0.0, other))) == 1, "it waits for the first"
+
+
+# UNASKED: a body in a coding that is taken off nowhere reaches the worker as plain bytes.
+def shows_a_transfer_coding_that_is_not_decoded_is_refused() -> None:
+    for coding in ("gzip, chunked", "gzip,chunked", "x-own, chunked", "deflate, gzip, chunked"):
+        chunks = b"2\r\n\x1f\x8b\r\n0\r\n\r\n"
+        scene = visited([message(PLAIN, "k1-secret", f"Transfer-Encoding: {coding}", body=chunks)])
+        assert scene.statuses() in ([400], [501]) and not scene.taken, (coding, scene.answers)
