Show that white space behind a value is taken for a part of it

Cause: the parser takes off white space before a value only (RFC 9110, 5.5: on both sides). `Host: h ` finds no route, and `Order-Key: k ` is another key, of another shard, than `k`, though a worker reads the same.

--- a/tests/tenant_delivery.py
+++ b/tests/tenant_delivery.py
@@ -542,3 +542,13 @@
         chunks = b"2\r\n\x1f\x8b\r\n0\r\n\r\n"
         scene = visited([message(PLAIN, "k1-secret", f"Transfer-Encoding: {coding}", body=chunks)])
         assert scene.statuses() in ([400], [501]) and not scene.taken, (coding, scene.answers)
+
+
+# ORDER and UNASKED: white space behind a value, which is no part of it, makes another key, host or id.
+def shows_white_space_around_a_value_is_no_part_of_it() -> None:
+    plain = one(message(FIFO, "k1-secret", "Order-Key: k"))
+    for space in (" ", "\t", " \t "):
+        fields = [f"Attempt-Id: i1{space}", f"Order-Key:{space}k{space}", "Authorization: Token k1-secret"]
+        lines = ["POST /a/1 HTTP/1.1", f"Host: h{space}", *fields, "Content-Length: 1"]
+        taken = one("\r\n".join(lines).encode() + b"\r\n\r\nx")
+        assert taken.put == plain.put, repr(space)
