Show that a kept connection outlives the address of a service's endpoint

Cause: DeliveryClient keeps connections by the worker's id; that of a service at one address is its name, so it stays the same when a configuration moves the endpoint. Such a delivery names no instance that would turn it away: the old service runs it, or whoever has its address by then (ROUTE, CONFIG, UNASKED).

--- a/tests/tenant_delivery.py
+++ b/tests/tenant_delivery.py
@@ -19,7 +19,7 @@
 from sableford.edge.gateway import Gateway
 from sableford.simulation.stores import DOC
 from sableford.store.choice import Choice, WorkerEntry
-from sableford.store.delivery import request_of
+from sableford.store.delivery import DeliveryClient, request_of
 from sableford.store.message_storage import Clocks, decode_message, encode_message
 from sableford.store.messages import AskFinalStates, CopyMessage, Deliver, Effect, Message, Pull
 from sableford.store.protocol import PutRequest
@@ -552,3 +552,51 @@
         lines = ["POST /a/1 HTTP/1.1", f"Host: h{space}", *fields, "Content-Length: 1"]
         taken = one("\r\n".join(lines).encode() + b"\r\n\r\nx")
         assert taken.put == plain.put, repr(space)
+
+
+# ROUTE and UNASKED: a service at one address moves, and a kept connection still leads to the old one, which
+# may be another service's by now. Deliveries to such a service name no instance that would turn them away.
+def shows_a_connection_to_a_service_s_old_address_is_not_used_for_the_new_one() -> None:
+    class Worker(asyncio.Protocol):
+        def __init__(self, came: list[bytes]) -> None:
+            self.came = came
+
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            self.transport = transport
+
+        def connection_lost(self, problem: Exception | None) -> None:
+            pass
+
+        def eof_received(self) -> bool:
+            return False
+
+        def data_received(self, data: bytes) -> None:
+            self.came.append(data)
+            head = b"HTTP/1.1 200 OK\r\nAttempt-Id: i1\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n"
+            self.transport.write(head)
+
+    def at(address: str) -> tuple[Choice, WorkerEntry]:
+        backend = {"name": "a", "endpoint": address}
+        choice.fix(0.0, Table(1, WITHOUT_TENANTS | {"backends": [backend]}))
+        return choice, choice.workers["@a"].entry
+
+    choice = Choice("z0", "s0")
+    stores = owned_by_s0()
+    taken = visited([raw(PLAIN, "Attempt-Id: i1")], WITHOUT_TENANTS).taken[0]
+    stores.accept(0.0, taken)
+    held = stores.queues["s0"].state.messages[taken.put.ref]
+
+    async def scene(loop) -> tuple[list[bytes], list[bytes]]:
+        before: list[bytes] = []
+        after: list[bytes] = []
+        loop.listeners = {("10.0.0.1", 80): lambda: Worker(before), ("10.0.0.2", 80): lambda: Worker(after)}
+        client = DeliveryClient()
+        for address in ("10.0.0.1:80", "10.0.0.2:80"):
+            _, entry = at(address)
+            verdict = await client.deliver(held, b"x", entry, 1000.0)
+            assert verdict.execution is Execution.DONE, verdict
+            client.sweep(set(choice.workers))
+        return before, after
+
+    before, after = simulated(scene)
+    assert (len(before), len(after)) == (1, 1)
