--- /dev/null
+++ b/tests/tenant_routes.py
@@ -0,0 +1,215 @@
+"""Whose requests an edge takes: keys of tenants, on routes that are public or not (docs/tenants.md)."""
+
+import base64
+from hashlib import sha256
+
+import msgspec
+
+from sableford.control.protocol import ConfigurationVersion
+from sableford.edge.gateway import Gateway
+from sableford.simulation.stores import DOC
+from sableford.transport.http import Answer
+from sableford.transport.routes import Table
+from tests.edge_gateway import Owner, asked, edge
+from tests.memory_network import simulated
+
+KEY, OTHER_KEY, UNKNOWN_KEY = b"k-7f3aQ91c2", b"z-55d0W2e8b", b"k-0000nobody"
+TENANTS = [
+    {"name": "nowu640", "apiKeys": [KEY.decode(), "k-second"]},
+    {"name": "goka901", "apiKeys": [OTHER_KEY.decode()]},
+    {"name": "keyless", "apiKeys": []},
+]
+PUBLIC = DOC["routes"][1] | {"name": "p", "pathPrefix": "/p", "public": True}
+WITHOUT_TENANTS = DOC | {"routes": [*DOC["routes"], PUBLIC]}
+WITH_TENANTS = WITHOUT_TENANTS | {"tenants": TENANTS}
+CLOSED_PATHS, PUBLIC_PATH, UNKNOWN_PATH = ("/a/1", "/b/1"), "/p/1", "/nowhere"
+ID = (b"attempt-id", b"id")
+UNACCEPTED = (
+    None,  # no such field
+    b"",
+    b"Token",
+    b"Token ",
+    KEY,
+    b"Bearer " + KEY,
+    b"Basic " + base64.b64encode(b"nowu640:" + KEY),
+    b"Tokens " + KEY,
+    b"Token" + KEY,
+    b"Token=" + KEY,
+    b"Token " + UNKNOWN_KEY,
+    b"Token " + KEY[:5] + b" " + KEY[5:],
+    b"Token " + KEY + b" " + KEY,
+    b"Token " + KEY + b", Token " + OTHER_KEY,
+    b"Token " + KEY + b"," + OTHER_KEY,
+    b'Token "' + KEY + b'"',
+    b"Token " + KEY.upper(),
+    b"Token " + KEY.lower(),
+    b"Token " + KEY[:-1],
+    b"Token " + KEY[:1],
+    b"Token " + KEY[1:],
+    b"Token " + KEY + b"0",
+    b"Token " + KEY + b"\x00",
+    b"Token nowu640",
+    b"Token keyless",
+    b"Token " + sha256(KEY).hexdigest().encode(),
+    b"Token " + sha256(KEY).digest(),
+    b"Token \xff\xfe",
+)
+
+
+class Asked:
+    """What came of one request: its answer, what was put to the store, and the log's lines."""
+
+    def __init__(
+        self, path: str, *fields: tuple[bytes, bytes], document: dict = WITH_TENANTS, lease: float = 1e9
+    ) -> None:
+        self.lines: list[str] = []
+
+        async def scene() -> tuple[Answer, Owner]:
+            store = Owner(*[{"kept": True}] * 4)
+            gate = edge({"s0": store})
+            self._configure(gate, document)
+            gate.member.lease = lease
+            got = asked(gate, path, *fields)
+            return (got if isinstance(got, Answer) else await got), store
+
+        self.answer, store = simulated(lambda loop: scene())
+        self.status, self.puts = self.answer.status, store.puts
+
+    def _configure(self, gate: Gateway, document: dict) -> None:
+        gate.log.event = lambda name, /, **fields: self.lines.append(f"{name} {fields}")
+        gate.configuration_changed(ConfigurationVersion(2, document))
+
+
+def with_key(value: bytes | None) -> tuple[tuple[bytes, bytes], ...]:
+    """The fields of a message that is right but for its Authorization."""
+    return (ID,) if value is None else (ID, (b"authorization", value))
+
+
+# Guards against ROUTE: a request with a key that no configuration has held, or with none, is run.
+def shows_a_route_that_is_not_public_takes_nothing_without_a_known_key() -> None:
+    for path in CLOSED_PATHS:
+        for value in UNACCEPTED:
+            got = Asked(path, *with_key(value))
+            assert (got.status, got.puts) == (401, []), (path, value, got.status, len(got.puts))
+
+
+# Guards against ROUTE: only `true` makes a route public, not that the field is given.
+def shows_a_route_is_public_only_where_its_configuration_says_true() -> None:
+    for given in ({}, {"public": False}, {"public": None}):
+        route = {name: value for name, value in PUBLIC.items() if name != "public"} | given
+        got = Asked(PUBLIC_PATH, ID, document=WITH_TENANTS | {"routes": [route]})
+        assert (got.status, got.puts) == (401, []), (given, got.status)
+
+
+# Guards against ROUTE: a request is run for who is told of no tenant, or of another one than its key's.
+def shows_a_known_key_names_its_tenant_on_each_route() -> None:
+    for path in (*CLOSED_PATHS, PUBLIC_PATH):
+        for key, tenant in ((KEY, "nowu640"), (b"k-second", "nowu640"), (OTHER_KEY, "goka901")):
+            got = Asked(path, *with_key(b"Token " + key))
+            assert got.status == 202 and len(got.puts) == 1, (path, key, got.status)
+            assert getattr(got.puts[0], "tenant", None) == tenant, (path, key)
+
+
+# Guards against CONFIG and UNASKED: a public route wants a key, or takes a guess for a tenant's.
+def shows_a_public_route_asks_for_no_key_and_an_unknown_one_names_no_tenant() -> None:
+    for value in UNACCEPTED:
+        got = Asked(PUBLIC_PATH, *with_key(value))
+        assert got.status == 202 and len(got.puts) == 1, (value, got.status)
+        assert getattr(got.puts[0], "tenant", None) == "", value
+
+
+# Guards against ROUTE: of two readings of one field the one that is known is taken.
+def shows_two_authorizations_are_refused_on_each_route() -> None:
+    for document in (WITH_TENANTS, WITHOUT_TENANTS):
+        for path in (*CLOSED_PATHS, PUBLIC_PATH, UNKNOWN_PATH):
+            for first, second in ((KEY, KEY), (KEY, OTHER_KEY), (UNKNOWN_KEY, KEY), (KEY, UNKNOWN_KEY)):
+                fields = (b"authorization", b"Token " + first), (b"authorization", b"Token " + second)
+                got = Asked(path, ID, *fields, document=document)
+                assert (got.status, got.puts) == (400, []), (path, first, second, got.status)
+                assert b"Authorization" in got.answer.body, got.answer
+
+
+# Guards against ROUTE and CONFIG: what no route is for is run, or refused as if it had one.
+def shows_an_unknown_route_is_answered_404_whatever_the_key() -> None:
+    for value in (*UNACCEPTED, b"Token " + KEY):
+        got = Asked(UNKNOWN_PATH, *with_key(value))
+        assert (got.status, got.puts) == (404, []), (value, got.status)
+
+
+# Guards against ROUTE: a key is judged by a configuration that may be an old one.
+def shows_no_key_is_judged_where_the_configuration_is_not_known_for_certain() -> None:
+    for value in (None, b"Token " + UNKNOWN_KEY, b"Token " + KEY):
+        for path in (*CLOSED_PATHS, PUBLIC_PATH, UNKNOWN_PATH):
+            got = Asked(path, *with_key(value), lease=-1e9)
+            assert (got.status, got.puts) == (503, []), (path, value, got.status)
+
+
+# Guards against a request that is not allowed being told what else of it is wrong.
+def shows_a_key_is_looked_at_before_the_other_fields() -> None:
+    for fields in ((), (ID, (b"delay-ms", b"nan")), (ID, (b"deadline-ms", b"-1"))):
+        refused = Asked(CLOSED_PATHS[0], *fields, (b"authorization", b"Token " + UNKNOWN_KEY))
+        assert (refused.status, refused.puts) == (401, []), (fields, refused.status)
+        known = Asked(CLOSED_PATHS[0], *fields, (b"authorization", b"Token " + KEY))
+        assert (known.status, known.puts) == (400, []), (fields, known.status)
+
+
+# Guards against CONFIG: deployments without tenants, as all earlier ones, refuse with 401.
+def shows_a_configuration_without_tenants_asks_for_no_key() -> None:
+    for value in (*UNACCEPTED, b"Token " + KEY):
+        for path in (*CLOSED_PATHS, PUBLIC_PATH):
+            got = Asked(path, *with_key(value), document=WITHOUT_TENANTS)
+            assert got.status == 202 and len(got.puts) == 1, (path, value, got.status)
+            assert getattr(got.puts[0], "tenant", "") == "", (path, value)
+
+
+# Guards against ROUTE: with all tenants taken away each key is unknown, not each request free.
+def shows_an_empty_list_of_tenants_is_no_configuration_without_tenants() -> None:
+    for value in (None, b"Token " + KEY):
+        got = Asked(CLOSED_PATHS[0], *with_key(value), document=WITHOUT_TENANTS | {"tenants": []})
+        assert (got.status, got.puts) == (401, []), (value, got.status)
+
+
+def renderings(key: bytes) -> set[str]:
+    """The key and its digests as they might stand in a text."""
+    digest = sha256(key)
+    return {
+        key.decode(),
+        digest.hexdigest(),
+        digest.hexdigest()[:16],
+        base64.b64encode(digest.digest()).decode(),
+    }
+
+
+# Guards against UNASKED: the key gets to a worker, a client or a log, from where others may use it.
+def shows_no_answer_put_or_log_line_has_a_key_or_its_digest() -> None:
+    for path in (*CLOSED_PATHS, PUBLIC_PATH, UNKNOWN_PATH):
+        for keys in ((KEY,), (UNKNOWN_KEY,), (KEY, OTHER_KEY)):
+            got = Asked(path, ID, *((b"authorization", b"Token " + key) for key in keys))
+            texts = [str(got.answer), *(msgspec.json.encode(put).decode() for put in got.puts), *got.lines]
+            for text in texts:
+                for secret in set().union(*map(renderings, (KEY, OTHER_KEY, UNKNOWN_KEY))):
+                    assert secret not in text, (path, keys, text)
+            assert any(line.startswith("config ") for line in got.lines), "the log was not heard"
+
+
+# Guards against clients that can't tell a refused key from another refusal (RFC 9110, 11.6.1).
+def shows_a_refused_key_is_told_which_scheme_is_wanted() -> None:
+    for value in UNACCEPTED:
+        got = Asked(CLOSED_PATHS[0], *with_key(value))
+        assert got.status == 401, (value, got.status)
+        wanted = [text for name, text in got.answer.headers if name.lower() == "www-authenticate"]
+        assert wanted == ["Token"], (value, got.answer)
+
+
+# Guards against ROUTE: the table of a version knows other keys than the version has.
+def shows_a_table_knows_just_the_keys_of_its_version() -> None:
+    table = Table(2, WITH_TENANTS)
+    known = {KEY: "nowu640", b"k-second": "nowu640", OTHER_KEY: "goka901"}
+    for key, tenant in known.items():
+        assert table.tenant_of(key) == tenant, key
+    for key in (b"", b" ", UNKNOWN_KEY, KEY[:-1], KEY + b" ", KEY.upper(), sha256(KEY).digest(), b"\xff"):
+        assert table.tenant_of(key) is None, key
+    for document in ({}, WITHOUT_TENANTS, WITH_TENANTS | {"tenants": TENANTS[1:]}):
+        assert Table(3, document).tenant_of(KEY) is None, document
+    routes = {path: table.find("h", path) for path in (*CLOSED_PATHS, PUBLIC_PATH)}
+    assert [route is not None and route.public for route in routes.values()] == [False, False, True]
