--- /dev/null
+++ b/tests/moved_endpoints.py
@@ -0,0 +1,48 @@
+"""Deliveries to a service at one address after a configuration has moved it."""
+
+import asyncio
+from types import SimpleNamespace
+
+from sableford.store.choice import Choice
+from sableford.store.delivery import DeliveryClient
+from sableford.transport.http import Answer, Bounds, Request
+from sableford.transport.http_server import HttpServer, ServerConnection
+from sableford.transport.routes import Table
+from sableford.transport.verdict import Execution
+from tests.memory_network import simulated
+
+OLD, NEW = ("10.9.0.1", 80), ("10.9.0.2", 80)
+HEADER = SimpleNamespace(method="POST", target="/a", host="h", id="m", content_type="", key="")
+DELIVERY_MS = 1000.0
+
+
+# Guards against CONFIG and ROUTE: on a kept connection the service that an older version names runs it.
+def shows_a_moved_service_gets_nothing_on_connections_to_its_old_address() -> None:
+    async def scene(loop) -> None:
+        ran: list[tuple[str, int]] = []
+
+        def served_at(place: tuple[str, int]) -> None:
+            def handle(request: Request) -> Answer:
+                ran.append(place)
+                return Answer(200, b"", (("Attempt-Id", "m"), ("Server-Seal", "s")))
+
+            loop.listeners[place] = lambda: ServerConnection(HttpServer(handle, Bounds()))
+
+        async def deliver(place: tuple[str, int]) -> None:
+            backend = {"name": "x", "maxConns": 2, "endpoint": f"{place[0]}:{place[1]}"}
+            choice.fix(loop.time() * 1000.0, Table(1, {"backends": [backend]}))
+            client.sweep(set(choice.workers))
+            worker = choice.choose(loop.time() * 1000.0, "x")
+            until = loop.time() * 1000.0 + DELIVERY_MS
+            verdict = await client.deliver(SimpleNamespace(header=HEADER), b"", worker.entry, until)
+            assert verdict.execution is Execution.DONE, verdict
+            await asyncio.sleep(0)
+
+        served_at(OLD)
+        served_at(NEW)
+        choice, client = Choice("z", "s"), DeliveryClient()
+        for place in (OLD, OLD, NEW):
+            await deliver(place)
+        assert ran == [OLD, OLD, NEW], ran
+
+    simulated(scene)
