--- /dev/null
+++ b/tests/configuration_versions.py
@@ -0,0 +1,182 @@
+"""Versions of the configuration on their way from the acknowledgement to the members that act on them."""
+
+import asyncio
+from contextlib import suppress
+from typing import Any
+
+from msgspec.structs import replace
+
+from sableford.control.configuration import Configuration, InvalidRequestError, check
+from sableford.control.member_client import configuration_until
+from sableford.control.protocol import ConfigurationVersion, Update
+from sableford.control.timing import LEASE_MS, QUORUM_FRESH_MS
+from sableford.edge.gateway import Gateway
+from sableford.simulation.stores import DOC
+from sableford.store.choice import Choice, WorkerEntry
+from sableford.store.messages import Deliver, Effect
+from sableford.store.queue import Queue
+from sableford.transport.routes import Table
+from tests.control_member import Scene, view
+from tests.edge_gateway import Owner, edge
+from tests.memory_network import simulated
+from tests.store_fences import PUT, takes_over
+
+APPLY_MS = 4000.0  # as the deployments have it
+
+ODD = ("2.0", "2", " 2 ", "1e3", 2.0, True, False, "true", "false", "no", "0", "1_0", None, [], {})
+FIELDS = {
+    "routes": (
+        "deadlineMs",
+        "targetMs",
+        "startTargetMs",
+        "rank",
+        "maxTries",
+        "fifo",
+        "retentionS",
+        "variant",
+    ),
+    "backends": ("idempotent", "maxConns", "healthPath", "endpoint", "ratePerS"),
+    "limits": ("maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"),
+}
+
+
+def document_with(part: str, field: str, value: Any) -> dict[str, Any]:
+    """A configuration that is valid but perhaps for that value."""
+    route = {"name": "r", "hostname": "h", "pathPrefix": "/", "backend": "b", "deadlineMs": 100}
+    doc: dict[str, Any] = {"revision": 2, "routes": [route], "backends": [{"name": "b"}], "limits": {}}
+    place = doc[part] if part == "limits" else doc[part][0]
+    place[field] = value
+    return doc
+
+
+def acted_on(gate: Gateway) -> list[Any]:
+    """What an edge and its stores make of the configuration."""
+    table, bounds = gate.table, gate.bounds
+    route, backend = table.find("h", "/"), table.backends["b"]
+    return [
+        *(route.deadline_ms, route.target_ms, route.start_ms, route.rank, route.tries, route.fifo),
+        *(route.retention_s, backend.idempotent, backend.conns, backend.rate),
+        *(bounds.head, bounds.body, bounds.head_ms, bounds.idle_ms),
+    ]
+
+
+def acknowledged(configuration: Configuration) -> list[Any]:
+    """The same, as it was checked before it was acknowledged."""
+    route, backend, limits = configuration.routes[0], configuration.backends[0], configuration.limits
+    return [
+        *(
+            route.deadlineMs,
+            route.targetMs,
+            route.startTargetMs or 0.0,
+            route.rank,
+            route.maxTries,
+            route.fifo,
+        ),
+        *(route.retentionS, backend.idempotent, backend.maxConns, backend.ratePerS),
+        *(limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeoutMs, limits.idleTimeoutMs),
+    ]
+
+
+def shows_what_is_acknowledged_can_be_applied_by_members_and_means_the_same_there() -> None:
+    # CONFIG: a configuration was acknowledged that no member could apply, or that members read otherwise.
+    async def scene(loop: asyncio.AbstractEventLoop) -> list[str]:
+        wrong = []
+        for part, fields in FIELDS.items():
+            for field in fields:
+                for value in ODD:
+                    doc = document_with(part, field, value)
+                    try:
+                        configuration = check(doc)
+                    except InvalidRequestError:
+                        continue
+                    gate = edge({"s0": Owner()})
+                    try:
+                        gate.configuration_changed(ConfigurationVersion(2, doc))
+                    except Exception as problem:
+                        wrong.append(f"{part}.{field} {value!r}: {problem}")
+                        continue
+                    if acted_on(gate) != acknowledged(configuration):
+                        wrong.append(f"{part}.{field} {value!r}: means something else at members")
+        return wrong
+
+    wrong = simulated(scene)
+    assert not wrong, wrong
+
+
+def with_workers_of_both_services() -> Queue:
+    """A store that owns all shards under version 1, in which all of /b goes to service b."""
+    queue = Queue("s0", "b0", 1, Table(1, DOC), Choice("z0", "s0"), 600.0, True)
+    for service in ("a", "b"):
+        queue.choice.put(0.0, WorkerEntry(f"of-{service}", service, "10.0.0.9", 80, "z0", 2, True), 0.0)
+    queue.state.lease = 1e9
+    takes_over(queue, 0.0, 1)
+    return queue
+
+
+def served_by(effects: list[Effect]) -> list[str]:
+    return [effect.worker for effect in effects if isinstance(effect, Deliver)]
+
+
+def shows_a_message_taken_under_a_newer_version_is_not_run_by_an_older_one() -> None:
+    # CONFIG: an edge took a message by a version that its store had yet to get; the old service ran it.
+    route_of_b = next(route for route in DOC["routes"] if route["name"] == "b")
+    old = route_of_b["backend"]
+    new = "b" if old == "a" else "a"
+    services = [{"name": "a"}, {"name": "b"}]
+    moved = {"routes": [route_of_b | {"backend": new}], "backends": services}
+    narrower = route_of_b | {"name": "c", "pathPrefix": "/b/", "backend": new}
+    added = {"routes": [route_of_b, narrower], "backends": services}
+    for doc in (moved, added):
+        queue = with_workers_of_both_services()
+        request = replace(PUT, revision=2, target="/b/1")
+        effects = [*queue.put(0.0, request, b"x", "edge"), *queue.message_written(0.0, PUT.ref)]
+        effects += queue.message_copied(0.0, PUT.ref, "s1", True)
+        for now in range(10, 300, 10):
+            effects += queue.tick(float(now), 0.0)
+        assert served_by(effects) == [], "it was run by version 1"
+        effects = queue.configure(300.0, Table(2, doc))
+        for now in range(310, 500, 10):
+            effects += queue.tick(float(now), 0.0)
+        assert served_by(effects) == [f"of-{new}"], effects
+
+
+def shows_a_join_alone_prolongs_nothing_that_is_known_of_the_configuration() -> None:
+    # CONFIG: a new leader's answer came and its snapshot did not; its member used an old version too long.
+    async def play() -> None:
+        scene = Scene()
+        await scene.join()
+        first = ConfigurationVersion(1, DOC)
+        update = Update(term=3, number=1, snapshot=True, view=view(1, "s"), config=first)
+        scene.member.apply_update(scene.link, update)
+        acknowledged_at = scene.clock - QUORUM_FRESH_MS  # of version 2, at the earliest, by another leader
+        scene.clock += LEASE_MS - 1.0
+        await scene.join(term=4)
+        assert scene.member.config == first, "the snapshot, with version 2, is on its way"
+        until = configuration_until(scene.member.lease, APPLY_MS)
+        assert until <= acknowledged_at + APPLY_MS, until - acknowledged_at
+
+    asyncio.run(play())
+
+
+def shows_a_version_that_a_member_could_not_apply_is_applied_when_it_joins_again() -> None:
+    # CONFIG: a member failed while it applied a version, and then passed for one that had applied it.
+    async def play() -> None:
+        scene, applied = Scene(), []
+
+        def apply(config: ConfigurationVersion) -> None:
+            if not applied:
+                applied.append("failed")
+                raise RuntimeError
+            applied.append(config.revision)
+
+        scene.member.on_config.append(apply)
+        update = Update(
+            term=3, number=1, snapshot=True, view=view(1, "s"), config=ConfigurationVersion(2, DOC)
+        )
+        for _ in range(2):
+            await scene.join()
+            with suppress(RuntimeError):  # the link ends (`Link.data_received`), and it joins anew
+                scene.member.apply_update(scene.link, update)
+        assert applied == ["failed", 2], applied
+
+    asyncio.run(play())
