Log when a store applies a configuration, and whether all members had before the answer

Cause: of a CONFIG the logs could not say whether a store was behind, or whether the acknowledgement went out while members were: stores logged no version, and the result of the wait was thrown away.

--- a/sableford/control/http_api.py
+++ b/sableford/control/http_api.py
@@ -66,7 +66,7 @@
         self, update_number: int, roles: tuple[str, ...], after_old_leases: bool = False
     ) -> bool: ...
 
-    async def configuration_applied(self) -> None: ...
+    async def configuration_applied(self) -> bool: ...
 
     async def confirms_roster(self) -> bool: ...
 
@@ -192,7 +192,8 @@
                 outcome = await control.propose(state, remaining_ms)
                 return process.proposal_ended(outcome, state.revision)
             case AwaitMembers(revision):
-                await control.configuration_applied()
+                all_applied = await control.configuration_applied()
+                control.log.event("config_awaited", revision=revision, all_applied=all_applied)
                 return process.members_awaited(revision)
         raise AssertionError(effect)
 
--- a/sableford/control/service.py
+++ b/sableford/control/service.py
@@ -303,10 +303,9 @@
         """Whether all present members of those roles have applied an update; it waits a bounded time."""
         return await self.sessions.wait_applied(update_number, roles, after_old_leases)
 
-    async def configuration_applied(self) -> None:
-        """Until present members have applied the newest configuration, or a bounded time is over."""
-        if self.leads:
-            await self.applied(self.coordinator.update_number, ALL_ROLES)
+    async def configuration_applied(self) -> bool:
+        """Whether all present members have applied the newest configuration; it waits a bounded time."""
+        return self.leads and await self.applied(self.coordinator.update_number, ALL_ROLES)
 
     async def confirms_roster(self) -> bool:
         """Whether a majority confirms what is in force, within the time of a proposal."""
--- a/sableford/store/server.py
+++ b/sableford/store/server.py
@@ -243,6 +243,7 @@
     def _configuration_changed(self, config: ConfigurationVersion) -> None:
         table = Table(config.revision, config.document)
         self.executor.carry_out(self.queue.configure(self.runtime.now(), table))
+        self.log.event("config", revision=table.revision)
 
     def _worker_changed(self, id: str | None) -> None:
         """One of the workers, or any of them."""
