Refuse configurations in which tenants share a key or a name

Callers saw: an invalid configuration was acknowledged (CONFIG): two tenants with one key.

Cause: tenants were fields that the check did not know and kept as they came; an amendment could not bring them where there were none.

Change: tenants are checked (names unique and fit for a header's line, keys visible, no key of two tenants; the error names tenants and never a key), upsert and remove know them, and an upsert that names an item twice is refused, since it has no one reading.

--- a/sableford/control/configuration.py
+++ b/sableford/control/configuration.py
@@ -12,10 +12,14 @@
 MAX_REVISION = 2**53 - 1
 MAX_DEPTH = 64  # levels of nesting: far more than any configuration has, and fewer than JSON writers bear
 MAX_PORT = 65_535
+OPTIONAL_PARTS = ("tenants",)  # that a configuration may be without, and an amendment may bring
 
 Text = Annotated[str, Field(min_length=1)]
 Figure = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+# A tenant's name goes to workers in a header, a key comes in one: neither may end the line or lose its ends.
+HEADER_VALUE = r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$"
+VISIBLE = r"^[^\x00-\x20\x7f]+$"
 Revision = Annotated[int, Field(ge=1, le=MAX_REVISION, strict=True)]
 
 
@@ -59,6 +63,14 @@
         return self
 
 
+class Tenant(_Part):
+    """A party whose requests are known by any of its keys. One without keys sends nothing."""
+
+    name: Annotated[str, Field(pattern=HEADER_VALUE)]
+    apiKeys: list[Annotated[str, Field(pattern=VISIBLE)]]
+    rank: int = 0
+
+
 class Limits(_Part):
     maxHeaderBytes: Annotated[int, Field(gt=0)] = 16_384
     maxBodyBytes: Annotated[int, Field(gt=0)] = 262_144
@@ -71,6 +83,7 @@
     routes: list[Route]
     backends: list[Backend]
     limits: Limits = Limits()
+    tenants: list[Tenant] | None = None  # none: nobody is asked for a key
 
     @model_validator(mode="after")
     def _fits(self) -> "Configuration":
@@ -87,8 +100,21 @@
             if place in places:
                 raise ValueError(f"routes.{at}: another route has {one.hostname}{one.pathPrefix}")
             places.add(place)
+        self._check_tenants()
         return self
 
+    def _check_tenants(self) -> None:
+        """Raises ValueError, which names tenants and no key."""
+        holders: dict[str, str] = {}
+        names = set()
+        for at, tenant in enumerate(self.tenants or []):
+            if tenant.name in names:
+                raise ValueError(f"tenants.{at}.name: another tenant is called {tenant.name!r}")
+            names.add(tenant.name)
+            for key in tenant.apiKeys:
+                if (holder := holders.setdefault(key, tenant.name)) != tenant.name:
+                    raise ValueError(f"tenants.{at}.apiKeys: {tenant.name!r} shares a key with {holder!r}")
+
 
 def check(doc: Any) -> Configuration:
     """Raises InvalidRequestError.
@@ -134,10 +160,14 @@
     """
     new = dict(doc)
     for part, names in _parts(change, "remove"):
+        if part in OPTIONAL_PARTS and new.get(part) is None:
+            continue
         new[part] = _without(new.get(part), names, part)
     for part, items in _parts(change, "upsert"):
         if part == "limits" and isinstance(items, dict):
             new[part] = {**new.get(part, {}), **items}
+        elif part in OPTIONAL_PARTS and new.get(part) is None:
+            new[part] = _with([], items, part)
         else:
             new[part] = _with(new.get(part), items, part)
     new["revision"] = change.get("revision")
@@ -173,6 +203,8 @@
         raise InvalidRequestError(f"upsert.{part}: the configuration has no named items of that kind")
     if not _named(items):
         raise InvalidRequestError(f"upsert.{part}: a list of items with names is wanted")
+    if len({item["name"] for item in items}) < len(items):
+        raise InvalidRequestError(f"upsert.{part}: two items of one name")
     by_name = {item["name"]: item for item in present}
     by_name.update((item["name"], item) for item in items)
     return list(by_name.values())
