Know whose each request is by its key, and carry the tenant to workers

Change (docs/tenants.md): keys stand in the table of each version as digests; an edge answers 401 without a known key on routes that are not public, by the version in force as the request is read, and 503 where that version may be an old one (the lesser of applyMs and revokeMs). The tenant stands in the put, in the header on disk, in replicas and pulls, and goes to workers with each attempt. Order is kept by tenant and key, and references carry a tag of the tenant, so that ids of two tenants never meet and states and bodies are shown to keys of the tenant only. Questions about messages moved out of the gateway into a module of their own.

Two changed with their stand-ins, not in what they hold: the bounds of the edge's settings are the real type, and the question in a lapsed configuration names a message of a tenant (one of no tenant is shown without a key, by the design).

--- a/sableford/common/settings.py
+++ b/sableford/common/settings.py
@@ -46,6 +46,7 @@
     drain_ms: float = 3000
     grace_s: float = 6
     apply_ms: float = 3000
+    revoke_ms: float | None = None
     recovery_s: float = 12
     done_s: float = 10
     status_ttl_s: float = 120
@@ -53,6 +54,12 @@
     ceiling_window_s: float = 5
     origin_excess: float = 1.1
 
+    @property
+    def configuration_ms(self) -> float:
+        """How long after the acknowledgement of a version a member may still act on an older one, keys
+        included."""
+        return self.apply_ms if self.revoke_ms is None else min(self.apply_ms, self.revoke_ms)
+
 
 class Settings(msgspec.Struct, rename="camel"):
     node_name: str
--- a/sableford/control/view.py
+++ b/sableford/control/view.py
@@ -4,6 +4,8 @@
 way of a view in which it is nobody's, which the old owner has acknowledged or outlived its lease under.
 """
 
+import re
+from hashlib import sha1, sha256
 from zlib import crc32
 
 import msgspec
@@ -57,8 +59,21 @@
         return newest
 
 
+TENANT_MARK = "t."  # begins the rest of a reference behind its shard, where the message is a tenant's
+TAG_CHARACTERS = 12  # of the digest of a tenant's name
+MAX_REF_CHARACTERS = 64  # PROTOCOL.md, "Messages"
+_READABLE_ID = re.compile(r"[A-Za-z0-9._-]+")
+
+
+def order_key(tenant: str, key: str) -> str:
+    """By what messages are kept in order: their key, among those of their tenant; empty where no order is
+    wanted."""
+    return f"{tenant}\0{key}" if tenant and key else key
+
+
 def shard_of(key: str) -> int:
-    """
+    """Whose shard messages of one `order_key` are.
+
     >>> 0 <= shard_of("pump-4") < SHARDS
     True
     """
@@ -74,6 +89,41 @@
     return f"{shard:02d}-{name}"
 
 
+def message_ref(shard: int, tenant: str, id: str) -> str:
+    """A message's name from its client's id. Ids of different tenants never come to the same name.
+
+    >>> message_ref(7, "", "9c41"), message_ref(7, "acme", "9c41")
+    ('07-9c41', '07-t.822b33ad87c1.9c41')
+    >>> message_ref(7, "", "t.x"), len(message_ref(7, "acme", "x" * 80))
+    ('07-b54f72ca7e2c041b0e7e8738078cc7d64ac09635', 58)
+    """
+    mark = f"{TENANT_MARK}{tenant_tag(tenant)}." if tenant else ""
+    ref = ref_of(shard, mark + id)
+    is_plain = _READABLE_ID.fullmatch(id) is not None and len(ref) <= MAX_REF_CHARACTERS
+    is_ambiguous = not tenant and id.startswith(TENANT_MARK)
+    if is_plain and not is_ambiguous:
+        return ref
+    return ref_of(shard, mark + sha1(id.encode()).hexdigest())
+
+
+def tenant_tag(tenant: str) -> str:
+    """What stands in references for a tenant's name."""
+    return sha256(tenant.encode()).hexdigest()[:TAG_CHARACTERS]
+
+
+def tag_in(ref: str) -> str:
+    """The tag of the tenant whose message it is; empty where it is nobody's.
+
+    >>> tag_in(message_ref(7, "acme", "9c41")) == tenant_tag("acme"), tag_in("07-9c41")
+    (True, '')
+    """
+    _, _, name = ref.partition("-")
+    if not name.startswith(TENANT_MARK):
+        return ""
+    tag, dot, _ = name.removeprefix(TENANT_MARK).partition(".")
+    return tag if dot else ""
+
+
 def shard_in(ref: str) -> int | None:
     head, dash, _ = ref.partition("-")
     digits = len(head) == 2 and head.isascii() and head.isdigit()
--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -3,24 +3,24 @@
 """
 
 import asyncio
-import re
 from collections.abc import Awaitable
-from hashlib import sha1
 
-import msgspec
 import orjson
 from msgspec.structs import replace
 
 from sableford.common.settings import address
 from sableford.control.member_client import configuration_until
 from sableford.control.protocol import ConfigurationVersion
-from sableford.control.view import SHARDS, View, ref_of, shard_in, shard_of
+from sableford.control.view import SHARDS, View, message_ref, order_key, shard_of
+from sableford.edge.authentication import UnauthorizedError, authenticate
 from sableford.edge.message_fields import FieldError, MessageFields, fields_of, host_of
-from sableford.edge.message_status import StoreResponse, final_response
+from sableford.edge.message_queries import MessageQueries
 from sableford.edge.put_progress import PutProgress, outcome_of
+from sableford.edge.responses import refused, unauthorized
+from sableford.edge.retry_wait import wait_for
 from sableford.edge.shard_availability import ShardAvailability
 from sableford.node.runtime import Runtime
-from sableford.store.protocol import ISOLATED, BodyRequest, PutRequest, StatusRequest, StatusResponse
+from sableford.store.protocol import ISOLATED, PutRequest
 from sableford.transport.http import Answer, Bounds, Request
 from sableford.transport.http_server import HttpServer
 from sableford.transport.link import Link
@@ -34,15 +34,11 @@
 HOLD_PART = 0.4  # of the time its client waits, at most
 MIN_WAIT_MS = 200.0  # a message is worked on for so long, whatever its client says
 MIN_PUT_TIMEOUT_MS = 10.0
-STORE_TIMEOUT_MS = 500.0  # for one store to say what it knows of a message
-STATUS_TIMEOUT_MS = 1700.0  # those who ask for a state wait two seconds
 ISOLATED_MS = 150.0  # a store that said that it reaches too few others is passed over for so long
 LEAVE_MS = 2300.0  # after SIGTERM: two missed looks at whether it is ready
 LEAVE_MARGIN_MS = 800.0  # of the grace period that are left for closing
 MAX_ELSEWHERE = 4  # shards that are tried one right after the other for what may go to any
-CLIENT_ID = re.compile(r"[A-Za-z0-9._-]{1,58}")
-STATUS_PATH, BODY_PATH, READINESS_PATH = "/v1/message/", "/v1/message-body/", "/v1/readiness"
-NO_MESSAGE = b'{"reason":"no such message"}'
+READINESS_PATH = "/v1/readiness"
 
 
 class Gateway:
@@ -59,6 +55,7 @@
         self._turn = 0
         self._isolated_until: dict[str, float] = {}  # stores that take nothing now
         self._availability = ShardAvailability()
+        self._queries = MessageQueries(runtime, self._knows_configuration)
 
     async def run(self) -> None:
         """Until it is told to end, and its clients are answered."""
@@ -88,7 +85,7 @@
 
     def configuration_changed(self, config: ConfigurationVersion) -> None:
         """Another version is in force."""
-        self.table = Table(config.revision, config.document)
+        self.table = self._queries.table = Table(config.revision, config.document)
         limits = self.table.limits
         self.bounds.head = int(limits.get("maxHeaderBytes", self.bounds.head))
         self.bounds.body = int(limits.get("maxBodyBytes", self.bounds.body))
@@ -108,8 +105,8 @@
 
     def _knows_configuration(self) -> bool:
         """Whether the configuration here may be acted on; without a lease for long it may be an old one."""
-        apply_ms = self.runtime.settings.rule_bounds.apply_ms
-        until = configuration_until(self.member.lease, apply_ms)
+        bound_ms = self.runtime.settings.rule_bounds.configuration_ms
+        until = configuration_until(self.member.lease, bound_ms)
         return bool(self.table.revision) and self.runtime.now() < until
 
     # Whether it may be sent clients
@@ -129,19 +126,18 @@
 
     def handle(self, request: Request) -> Answer | Awaitable[Answer]:
         """A client's request."""
-        path = request.path
-        if request.method == "GET" and path.startswith(STATUS_PATH):
-            return self._state(path[len(STATUS_PATH) :])
-        if request.method == "GET" and path.startswith(BODY_PATH):
-            return self._bytes(path[len(BODY_PATH) :])
+        if (answer := self._queries.handle(request)) is not None:
+            return answer
         if not self._knows_configuration():
-            return _refusal("no configuration is known for certain")
+            return refused("no configuration is known for certain")
         try:
             host = host_of(request)
-            route = self.table.find(host, path)
+            route = self.table.find(host, request.path)
             if route is None:
                 return Answer(404, b'{"reason":"no route"}')
-            fields = fields_of(request, route)
+            fields = fields_of(request, route, authenticate(request, route, self.table))
+        except UnauthorizedError:
+            return unauthorized()
         except FieldError as problem:
             return Answer(400, orjson.dumps({"reason": str(problem)}))
         return self._take(request, route, fields)
@@ -165,21 +161,21 @@
                 if progress.kept:
                     self._availability.accepted(put.shard)
                     return Answer(202, b"", (("Message-Ref", put.ref),))
-                self._note_refusal(put, why)
+                self._noterefused(put, why)
             may_settle = progress.unclear and self._any_store_responds()
             if self.runtime.now() >= (until if may_settle else hold_until):
                 break
             if not progress.unclear and not self._may_open_soon(put):
-                return _refusal("its shard is not served now")
+                return refused("its shard is not served now")
             if not fields.key and not progress.unclear:
                 put = _put_to(put, self._next_shard())
                 if put.shard >= 0 and elsewhere < MAX_ELSEWHERE:
                     elsewhere += 1
                     continue
-            await _wait(changed, RETRY_MS)
+            await wait_for(changed, RETRY_MS)
         if progress.status() == 504:
             return Answer(504, b'{"reason":"not known whether it was taken"}')
-        return _refusal("no store could take it", 0)
+        return refused("no store could take it", 0)
 
     def _link_for(self, put: PutRequest, progress: PutProgress) -> Link | None:
         """To the owner of its shard, where that may take it now."""
@@ -194,7 +190,7 @@
             self._availability.unreachable(now, put.shard)
         return None if self._availability.is_passed_over(now, put.shard) else link
 
-    def _note_refusal(self, put: PutRequest, why: str) -> None:
+    def _noterefused(self, put: PutRequest, why: str) -> None:
         now = self.runtime.now()
         if why == ISOLATED:
             self._isolated_until[self.member.view.owners[put.shard]] = now + ISOLATED_MS
@@ -205,7 +201,7 @@
         return not put.key or not self._availability.is_closed_for_long(self.runtime.now(), put.shard)
 
     def _put_request(self, request: Request, fields: MessageFields) -> PutRequest:
-        shard = shard_of(fields.key) if fields.key else self._next_shard()
+        shard = shard_of(order_key(fields.tenant, fields.key)) if fields.key else self._next_shard()
         return PutRequest(
             id=fields.id,
             key=fields.key,
@@ -216,8 +212,9 @@
             delay_ms=fields.delay_ms,
             revision=self.table.revision,
             shard=shard,
-            ref=_ref(shard, fields.id),
+            ref=message_ref(shard, fields.tenant, fields.id),
             age_ms=0.0,
+            tenant=fields.tenant,
         )
 
     def _any_store_responds(self) -> bool:
@@ -245,100 +242,6 @@
         is_isolated = self._isolated_until.get(owner, 0.0) > now
         return self.links.responsive_link(owner) is not None and not is_isolated
 
-    # What became of a message
-
-    async def _state(self, ref: str) -> Answer:
-        shard, until = shard_in(ref), self.runtime.now() + STATUS_TIMEOUT_MS
-        if shard is None:
-            return Answer(404, NO_MESSAGE)
-        while self.runtime.now() < until:
-            changed = self.member.changed
-            found = await self._ask_for_state(shard, ref)
-            if found is not None and found.state is not None:
-                return Answer(200, msgspec.json.encode(found.state))
-            if found is not None:
-                return Answer(404, NO_MESSAGE)
-            await _wait(changed, RETRY_MS * 2.0)
-        return _refusal("its store can't be asked now")
-
-    async def _ask_for_state(self, shard: int, ref: str) -> StatusResponse | None:
-        """The owner's response; where it has none, what the others' responses come to."""
-        owner, *others = self._sources(shard)
-        of_owner = await self._status_of(owner, ref)
-        heard = [] if of_owner is None else [of_owner]
-        owner_response = of_owner.response if of_owner is not None else None
-        if (found := final_response(heard, owner_response, self._sufficient())) is not None:
-            return found
-        further = await asyncio.gather(*(self._status_of(name, ref) for name in others))
-        heard += [one for one in further if one is not None]
-        return final_response(heard, owner_response, self._sufficient())
-
-    async def _status_of(self, name: str, ref: str) -> StoreResponse | None:
-        """None where the store did not answer, or spoke of another message."""
-        link = self.links.responsive_link(name)
-        if link is None:
-            return None
-        response = (await link.call(StatusRequest(ref), b"", STORE_TIMEOUT_MS)).message
-        if response is None or response.ref not in ("", ref):
-            return None
-        return StoreResponse(response, self._is_complete(name, link))
-
-    def _is_complete(self, name: str, link: Link) -> bool:
-        """Whether the store at the other end holds all that it ever said to hold: what it does not know of
-        says nothing otherwise. A process that the view does not show yet may have lost its disk."""
-        store = self.member.view.live_stores.get(name)
-        return store is not None and store.complete and store.incarnation == link.incarnation
-
-    async def _bytes(self, ref: str) -> Answer:
-        """From the owner or any other store: a message's bytes are the same wherever they are."""
-        shard, until = shard_in(ref), self.runtime.now() + STATUS_TIMEOUT_MS
-        if shard is None:
-            return Answer(404, NO_MESSAGE)
-        while self.runtime.now() < until:
-            changed, without_it = self.member.changed, 0
-            for name in self._sources(shard):
-                link = self.links.responsive_link(name)
-                if link is None:
-                    continue
-                result = await link.call(BodyRequest(ref), b"", STORE_TIMEOUT_MS)
-                if result.message is None or result.message.ref not in ("", ref):
-                    continue
-                if result.message.found:
-                    return Answer(200, result.body, kind="application/octet-stream")
-                without_it += self._is_complete(name, link)
-            if without_it >= max(1, self._sufficient()):
-                return Answer(404, NO_MESSAGE)
-            await _wait(changed, RETRY_MS * 2.0)
-        return _refusal("its store can't be asked now")
-
-    def _sources(self, shard: int) -> list[str]:
-        """Who may know of a message: first its shard's owner, "" while it has none."""
-        view = self.member.view
-        owner = view.owners[shard]
-        return [owner, *(name for name in view.live_stores if name != owner)]
-
-    def _sufficient(self) -> int:
-        """So many stores that what is kept for good is known to one of them."""
-        return len(self.member.view.roster) - self.runtime.settings.tolerates.machine_loss
-
-
-async def _wait(changed: asyncio.Event, timeout_ms: float) -> None:
-    """Until it is set, or the time is over."""
-    try:
-        async with asyncio.timeout(timeout_ms / 1000.0):
-            await changed.wait()
-    except TimeoutError:
-        pass
-
 
 def _put_to(put: PutRequest, shard: int) -> PutRequest:
-    return replace(put, shard=shard, ref=_ref(shard, put.id))
-
-
-def _ref(shard: int, id: str) -> str:
-    return ref_of(shard, id if CLIENT_ID.fullmatch(id) else sha1(id.encode()).hexdigest())
-
-
-def _refusal(why: str, after_s: int = 1) -> Answer:
-    """Not taken, and never run: when to come back."""
-    return Answer(503, orjson.dumps({"reason": why}), (("Retry-After", str(after_s)),))
+    return replace(put, shard=shard, ref=message_ref(shard, put.tenant, put.id))
--- a/sableford/edge/message_fields.py
+++ b/sableford/edge/message_fields.py
@@ -9,7 +9,15 @@
 # Digits of ASCII, with a fraction or a small exponent as programs print them: no sign, "inf", "nan" or "1_0".
 NUMBER = re.compile(r"[0-9]{1,10}(\.[0-9]{0,20})?([eE][+-]?[0-9]{1,2})?")
 MAX_MS = 1e9  # eleven days: longer than anything is kept
-AT_MOST_ONCE = (b"host", b"attempt-id", b"order-key", b"delay-ms", b"deadline-ms", b"content-type")
+AT_MOST_ONCE = (
+    b"host",
+    b"attempt-id",
+    b"order-key",
+    b"delay-ms",
+    b"deadline-ms",
+    b"content-type",
+    b"authorization",
+)
 
 
 class FieldError(ValueError):
@@ -25,21 +33,27 @@
     content_type: str
     delay_ms: float
     patience_ms: float  # how long its client waits for the answer
+    tenant: str = ""  # whose key it sent; empty where none was wanted
 
 
-def host_of(request: Request) -> str:
-    """The request's host. Raises FieldError."""
+def check_single_fields(request: Request) -> None:
+    """Raises FieldError for a field that is given more than once and has one reading only."""
     for name in AT_MOST_ONCE:
         if request.count(name) > 1:
             raise FieldError(f"{name.decode().title()} is given more than once")
+
+
+def host_of(request: Request) -> str:
+    """The request's host. Raises FieldError."""
+    check_single_fields(request)
     host = request.get(b"host")
     if not host:
         raise FieldError("a Host is wanted")
     return host
 
 
-def fields_of(request: Request, route: Route) -> MessageFields:
-    """All fields of a message. Raises FieldError."""
+def fields_of(request: Request, route: Route, tenant: str = "") -> MessageFields:
+    """All fields of a message that a tenant sends. Raises FieldError."""
     id = request.get(b"attempt-id")
     if not id:
         raise FieldError("an Attempt-Id is wanted")
@@ -50,6 +64,7 @@
         request.get(b"content-type") or "",
         milliseconds(request, b"delay-ms", 0.0),
         milliseconds(request, b"deadline-ms", route.deadline_ms),
+        tenant,
     )
 
 
--- a/sableford/store/acceptance.py
+++ b/sableford/store/acceptance.py
@@ -124,6 +124,7 @@
             revision=request.revision,
             position=(state.owned[request.shard], state.next_position()),
             content_type=request.content_type,
+            tenant=request.tenant,
         )
         sent_at = now - request.age_ms
         message = Message(header, put.body, sent_at + request.delay_ms, sent_at)
--- a/sableford/store/messages.py
+++ b/sableford/store/messages.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
-from sableford.control.view import Number
+from sableford.control.view import Number, order_key
 from sableford.store.protocol import (
     CopyRequest,
     FinalState,
@@ -60,7 +60,7 @@
 
     def __init__(self, header: MessageHeader, body: bytes | None, due_at: float, sent_at: float) -> None:
         self.header, self.body, self.due_at, self.sent_at = header, body, due_at, sent_at
-        self.ref, self.shard, self.key = header.ref, header.shard, header.key
+        self.ref, self.shard, self.key = header.ref, header.shard, order_key(header.tenant, header.key)
         self.position, self.revision, self.attempts = header.position, header.revision, header.attempts
         self.state = State.REPLICA
         self.synced = False  # on the own disk
--- a/sableford/store/server.py
+++ b/sableford/store/server.py
@@ -262,8 +262,8 @@
 
     def _lease_extended(self, until: float) -> None:
         """An old configuration ends it sooner where the rule's bound is shorter than a lease."""
-        apply_ms = self.runtime.settings.rule_bounds.apply_ms
-        self.queue.state.lease = min(until, configuration_until(until, apply_ms))
+        bound_ms = self.runtime.settings.rule_bounds.configuration_ms
+        self.queue.state.lease = min(until, configuration_until(until, bound_ms))
 
     # The end
 
--- a/sableford/transport/routes.py
+++ b/sableford/transport/routes.py
@@ -1,5 +1,8 @@
-"""Which route a request is for: by host and longest prefix, under one version of the configuration."""
+"""Which route a request is for, by host and longest prefix, and which tenant a key belongs to, under one
+version of the configuration.
+"""
 
+from hashlib import sha256
 from typing import Any, NamedTuple
 
 
@@ -16,6 +19,7 @@
     fifo: bool
     retention_s: float
     variant: str
+    public: bool = False  # whoever sends needs no key
 
 
 class Backend(NamedTuple):
@@ -49,6 +53,7 @@
                 bool(given.get("fifo")),
                 float(given.get("retentionS") or 0),
                 given.get("variant", "deferred"),
+                bool(given.get("public")),
             )
             self._hosts.setdefault(given["hostname"].lower(), []).append((given["pathPrefix"], route))
         for routes in self._hosts.values():
@@ -65,6 +70,24 @@
             for given in self.doc.get("backends", [])
         }
 
+        tenants = self.doc.get("tenants")
+        self.has_tenants = tenants is not None
+        # By digest, so that how long a look-up takes says nothing of a key that is nearly right.
+        self._tenants = {
+            sha256(key.encode()).digest(): given["name"]
+            for given in tenants or []
+            for key in given["apiKeys"]
+        }
+
+    def tenant_of(self, key: bytes) -> str | None:
+        """The tenant that holds a key.
+
+        >>> table = Table(1, {"tenants": [{"name": "a", "apiKeys": ["k1", "k2"]}]})
+        >>> table.tenant_of(b"k2"), table.tenant_of(b"k")
+        ('a', None)
+        """
+        return self._tenants.get(sha256(key).digest())
+
     def find(self, host: str, path: str) -> Route | None:
         """The route with the longest prefix, on the host with its port or without.
 
--- a/tests/edge_gateway.py
+++ b/tests/edge_gateway.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from sableford.common.settings import Bounds
 from sableford.control.protocol import ConfigurationVersion
 from sableford.control.view import SHARDS, StoreInfo, View
 from sableford.edge import gateway
@@ -61,7 +62,7 @@
         log=SimpleNamespace(event=lambda name, /, **fields: None),
         settings=SimpleNamespace(
             zone="z",
-            rule_bounds=SimpleNamespace(apply_ms=3000.0),
+            rule_bounds=Bounds(apply_ms=3000.0),
             tolerates=SimpleNamespace(machine_loss=1),
         ),
         now=lambda: loop.time() * 1000.0,
--- a/tests/tenant_configuration.py
+++ b/tests/tenant_configuration.py
@@ -6,19 +6,20 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from types import SimpleNamespace
 from typing import Any
 
 import orjson
 
+from sableford.common.settings import Bounds
 from sableford.control.configuration import InvalidRequestError, amended, check
 from sableford.control.member_client import configuration_until
 from sableford.control.orders import Confirmed, Proposal, Refused, State, decide
 from sableford.control.protocol import ConfigurationVersion
 from sableford.control.requests import ConfigurationOrder, OrderKind
+from sableford.control.view import message_ref
 from sableford.edge.gateway import Gateway
 from sableford.transport.http_server import ServerConnection
-from tests.edge_gateway import NOTHING, REF, Owner, edge
+from tests.edge_gateway import NOTHING, Owner, edge
 from tests.memory_network import MemoryTransport, attached, simulated
 
 KEY, LATER_KEY, OTHER_KEY = "key-of-a", "later-key-of-a", "key-of-b"
@@ -51,8 +52,7 @@
     def __init__(self, first: Document) -> None:
         self.store = Owner(*[{"kept": True}] * 9)
         self.gate: Gateway = edge({"s0": self.store})
-        bounds = SimpleNamespace(apply_ms=APPLY_MS, revoke_ms=REVOKE_MS)
-        self.gate.runtime.settings.rule_bounds = bounds
+        self.gate.runtime.settings.rule_bounds = Bounds(apply_ms=APPLY_MS, revoke_ms=REVOKE_MS)
         self.configure(first)
         self._transport: MemoryTransport = attached(ServerConnection(self.gate._server))
         self._sent = 0
@@ -171,7 +171,7 @@
             assert await client.status(key) == 503, key
             # The state of a message is told by a key too.
             for path in ("/v1/message/", "/v1/message-body/"):
-                assert await client.status(key, path + REF, "GET") == 503, (key, path)
+                assert await client.status(key, path + message_ref(7, "a", "id"), "GET") == 503, (key, path)
         assert not client.store.puts
 
     on_a_connection(document(1, tenant("a", KEY)), scene)
