Take white space behind a header's value off it

Seen in a test only.

Cause: the parser takes off white space before a value, not behind it (RFC 9110, section 5.5).

Change: it is taken off.

--- a/sableford/transport/http_server.py
+++ b/sableford/transport/http_server.py
@@ -20,6 +20,9 @@
 MAX_CHUNK_OVERHEAD = 8  # bytes sent for one of the body: more than chunks of one byte each take
 
 
+WHITE_SPACE = b" \t"  # around a value, and no part of it (RFC 9110, section 5.5)
+
+
 class RequestRefusedError(Exception):
     """A request that is not read any further; its argument is the status."""
 
@@ -157,7 +160,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._grow(len(name) + len(value) + 4)
         if not self._head_whole:  # a trailer says nothing of its request
-            self._head.append((name.lower(), value))
+            self._head.append((name.lower(), value.strip(WHITE_SPACE)))
 
     def _grow(self, size: int) -> None:
         self._size += size
