Pass an Order-Key on where a route keeps no order

Clients of the known deployments send none there; an edge that learns late of a route's change would do the same. Seen in a test only.

Cause: the key was read only where the route is fifo.

Change: it goes on as unordered_key, which keeps no order.

--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -215,6 +215,7 @@
             ref=message_ref(shard, fields.tenant, fields.id),
             age_ms=0.0,
             tenant=fields.tenant,
+            unordered_key=fields.unordered_key,
         )
 
     def _any_store_responds(self) -> bool:
--- a/sableford/edge/message_fields.py
+++ b/sableford/edge/message_fields.py
@@ -34,6 +34,7 @@
     delay_ms: float
     patience_ms: float  # how long its client waits for the answer
     tenant: str = ""  # whose key it sent; empty where none was wanted
+    unordered_key: str = ""  # that it names though its route keeps no order
 
 
 def check_single_fields(request: Request) -> None:
@@ -57,14 +58,16 @@
     id = request.get(b"attempt-id")
     if not id:
         raise FieldError("an Attempt-Id is wanted")
+    order_key = request.get(b"order-key") or ""
     return MessageFields(
         id,
         host_of(request),
-        (request.get(b"order-key") or "") if route.fifo else "",
+        order_key if route.fifo else "",
         request.get(b"content-type") or "",
         milliseconds(request, b"delay-ms", 0.0),
         milliseconds(request, b"deadline-ms", route.deadline_ms),
         tenant,
+        "" if route.fifo else order_key,
     )
 
 
--- a/sableford/store/acceptance.py
+++ b/sableford/store/acceptance.py
@@ -125,6 +125,7 @@
             position=(state.owned[request.shard], state.next_position()),
             content_type=request.content_type,
             tenant=request.tenant,
+            unordered_key=request.unordered_key,
         )
         sent_at = now - request.age_ms
         message = Message(header, put.body, sent_at + request.delay_ms, sent_at)
--- a/sableford/store/delivery.py
+++ b/sableford/store/delivery.py
@@ -33,8 +33,8 @@
         lines.append(f"Target-Instance: {entry.id}")
     if header.content_type:
         lines.append(f"Content-Type: {header.content_type}")
-    if header.key:
-        lines.append(f"Order-Key: {header.key}")
+    if order_key := header.key or header.unordered_key:
+        lines.append(f"Order-Key: {order_key}")
     if header.tenant:
         lines.append(f"Tenant: {header.tenant.encode().decode('latin-1')}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
--- a/sableford/store/protocol.py
+++ b/sableford/store/protocol.py
@@ -49,6 +49,7 @@
     content_type: str = msgspec.field(name="type", default="")
     attempts: int = msgspec.field(name="tries", default=0)  # that have failed
     tenant: str = ""  # whose key the client sent; empty where none was wanted
+    unordered_key: str = ""  # passed on to the worker where the route keeps no order
 
 
 class StoredMessage(MessageHeader, frozen=True, kw_only=True):
@@ -94,6 +95,7 @@
     is_retry: bool = msgspec.field(name="again", default=False)  # an earlier put of it may have been taken
     age_ms: float = msgspec.field(name="age")  # since its client sent it
     tenant: str = ""  # whose key the client sent; empty where none was wanted
+    unordered_key: str = ""  # passed on to the worker where the route keeps no order
 
 
 class CopyRequest(MessageHeader, PeerRequest[Confirmation], frozen=True, kw_only=True, tag="copy"):
--- a/tests/http_calls.py
+++ b/tests/http_calls.py
@@ -374,7 +374,9 @@
 
 
 MESSAGE = SimpleNamespace(
-    header=SimpleNamespace(method="POST", target="/a", host="h", id="7", key="", content_type="", tenant="")
+    header=SimpleNamespace(
+        method="POST", target="/a", host="h", id="7", key="", content_type="", tenant="", unordered_key=""
+    )
 )  # what a delivery reads of it
 WORKER = WorkerEntry("i-7", "b", "w", 1, "z", 1, True)
 LEFT_MS = 1500.0
--- a/tests/moved_endpoints.py
+++ b/tests/moved_endpoints.py
@@ -12,7 +12,9 @@
 from tests.memory_network import simulated
 
 OLD, NEW = ("10.9.0.1", 80), ("10.9.0.2", 80)
-HEADER = SimpleNamespace(method="POST", target="/a", host="h", id="m", content_type="", key="", tenant="")
+HEADER = SimpleNamespace(
+    method="POST", target="/a", host="h", id="m", content_type="", key="", tenant="", unordered_key=""
+)
 DELIVERY_MS = 1000.0
 
 
