--- a/sableford/transport/http_server.py
+++ b/sableford/transport/http_server.py
@@ -179,10 +179,9 @@
         for name, value in self._head:
             if name == b"content-length" and int(value) > self.server.bounds.body:
                 self._stop(413)
+            # Codings before the chunks would be taken off nowhere (RFC 9112, section 6.1).
             if name == b"transfer-encoding" and value.lower() != b"chunked":
-                self._stop(
-                    501
-                )  # codings before the chunks would be taken off nowhere (RFC 9112, section 6.1)
+                self._stop(400)
             continues = continues or (name == b"expect" and value.lower() == b"100-continue")
         if continues and not (self._waiting or self._task or self._closed):
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
