--- a/sableford/common/settings.py
+++ b/sableford/common/settings.py
@@ -52,6 +52,21 @@
     not_before_ms: float = 100
     ceiling_window_s: float = 5
     origin_excess: float = 1.1
+    fencing: bool = False
+    lease_ms: float = 3000
+    thaw_slack_ms: float = 300
+    usage_window_s: float = 5
+    usage_error: float = 0.05
+    usage_late_s: float = 10
+
+
+class CloudApi(msgspec.Struct, rename="camel"):
+    """The platform, for which some calls are made by one store at a time (`docs/duties.md`)."""
+
+    address: str
+    duty_set: list[str] = []
+    rate_per_s: float = 50.0
+    duty_rate_s: float = 50.0
 
 
 class Settings(msgspec.Struct, rename="camel"):
@@ -73,6 +88,7 @@
     heartbeat_ms: float = 1200
     tolerates: Tolerates = msgspec.field(default_factory=Tolerates)
     rule_bounds: Bounds = msgspec.field(default_factory=Bounds)
+    cloud_api: CloudApi | None = None
 
     @property
     def seeds(self) -> list[str]:
@@ -95,6 +111,19 @@
     return host, int(port)
 
 
+def _check_cloud_api(cloud_api: CloudApi, bounds: Bounds) -> None:
+    """Raises ValueError."""
+    address(cloud_api.address)
+    positive = {
+        "cloudApi.ratePerS": cloud_api.rate_per_s,
+        "cloudApi.dutyRateS": cloud_api.duty_rate_s,
+        "ruleBounds.usageWindowS": bounds.usage_window_s,
+    }
+    for field, value in positive.items():
+        if not value > 0:
+            raise ValueError(f"{field}: a number above 0 is wanted")
+
+
 def path() -> Path:
     return Path(os.environ.get(VARIABLE, DEFAULT))
 
@@ -123,6 +152,8 @@
         for field in ("public_http", "ready_probe", "control_rpc"):
             if (value := getattr(settings.bind_addrs, field)) is not None:
                 address(value)
+        if settings.cloud_api is not None:
+            _check_cloud_api(settings.cloud_api, settings.rule_bounds)
     except yaml.YAMLError as problem:
         raise SettingsError(f"{name}: no YAML: {' '.join(str(problem).split())}") from None
     except (msgspec.ValidationError, ValueError) as problem:
--- a/sableford/control/coordinator.py
+++ b/sableford/control/coordinator.py
@@ -13,7 +13,7 @@
                                                                       have applied it
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -30,6 +30,7 @@
 from sableford.control.view_flow import ViewFlow
 from sableford.control.worker_registry import WorkerChange, WorkerListed, WorkerRegistry
 from sableford.control.workers import Worker
+from sableford.duties.messages import DutyNotice
 
 ALL_ROLES = ("edge", "store")
 STORES = ("store",)
@@ -44,6 +45,8 @@
         self.leads = False
         # Whether a majority has answered of late, so that no other can have become the leader meanwhile.
         self.majority_is_recent: Callable[[float], bool] = lambda now: True
+        # What a store that joins is to know of duties.
+        self.duties_for: Callable[[str], list[DutyNotice] | None] = lambda name: None
         self.term = 0
         self.members: dict[str, Member] = {}
         self.roster: list[str] = []
@@ -132,7 +135,7 @@
         self._zones |= request.view.zones
         effects += self._add_to_roster(name, member)
         member.sent = self.update_number
-        effects.append(SendUpdate(name, self._snapshot(member)))
+        effects.append(SendUpdate(name, self._snapshot(name, member)))
         fields = {"member": member.node, "birth": member.incarnation, "role": member.role}
         effects.append(LogEvent("member_joined", fields))
         return effects + self._assign_shards(now)
@@ -156,14 +159,16 @@
             audits=before.audits if before is not None and is_same else {},
         )
 
-    def _snapshot(self, member: Member) -> Update:
+    def _snapshot(self, name: str, member: Member) -> Update:
+        is_store = member.role == "store"
         return Update(
             term=self.term,
             number=self.update_number,
             snapshot=True,
             config=self.config,
             view=self.view if self._start.old_leases_ended else None,
-            workers=list(self.workers.values()) if member.role == "store" else None,
+            workers=list(self.workers.values()) if is_store else None,
+            duties=self.duties_for(name) if is_store else None,
         )
 
     def renewed(self, now: float, name: str, request: RenewRequest) -> bool:
@@ -288,6 +293,23 @@
             effects = self._broadcast(STORES, removed_worker=change.id, worker_left=change.left)
         return self.update_number, effects
 
+    def tell_duties(self, notices: Mapping[str, list[DutyNotice]]) -> list[Effect]:
+        """An update to each of these members that is one, with what it is to know of duties."""
+        self.update_number += 1
+        effects: list[Effect] = []
+        for name, content in notices.items():
+            if (member := self.members.get(name)) is None:
+                continue
+            update = Update(term=self.term, number=self.update_number, previous=member.sent, duties=content)
+            effects.append(SendUpdate(name, update))
+            member.sent = self.update_number
+        return effects
+
+    def knows_members(self, now: float) -> bool:
+        """Whether who is no member here is none of any leader: a majority has answered of late, and no store
+        can act under a lease of an earlier leader."""
+        return self.leads and self.majority_is_recent(now) and self._start.old_leases_ended
+
     def configuration_changed(self, now: float, config: ConfigurationVersion) -> list[Effect]:
         """The operator's configuration as it is in force now."""
         if self.config is not None and self.config.revision == config.revision:
--- /dev/null
+++ b/sableford/control/duty_manager.py
@@ -0,0 +1,197 @@
+"""The leader's side of a duty: who holds it and which windows are sealed, each agreed on in the record.
+
+Stores are told of a state once it is agreed on. One change is under way at a time; it is decided anew on the
+state in force where it did not come about.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from sableford.common.log import EventLog
+from sableford.consensus.raft_node import put
+from sableford.control.coordinator import Coordinator
+from sableford.control.effects import Effect
+from sableford.control.protocol import MemberStatus
+from sableford.control.record_driver import RecordDriver
+from sableford.duties import state as duty_state
+from sableford.duties.messages import DutyNotice
+from sableford.duties.state import MAX_OWED_WINDOWS, DutyState
+from sableford.duties.succession import Candidate, RecentHolders, next_holder, reason_to_change
+from sableford.duties.usage_counts import UsageStatus
+from sableford.duties.usage_ledger import UsageLedger
+
+USAGE_REPORT = "usage_report"  # the duty's name in the settings
+KEY_PREFIX = "duty/"  # of the record's values
+
+
+class DutyManager:
+    """`leads` says whether this process leads; `carry_out` takes what the coordinator has to send. Times are
+    ms, `now` of the steady clock and `unix_ms` of the time of day."""
+
+    def __init__(
+        self,
+        duty: str,
+        driver: RecordDriver,
+        coordinator: Coordinator,
+        ledger: UsageLedger,
+        bar_ms: float,
+        leads: Callable[[], bool],
+        now: Callable[[], float],
+        unix_ms: Callable[[], float],
+        carry_out: Callable[[Iterable[Effect]], object],
+        log: EventLog,
+    ) -> None:
+        self._duty, self._key = duty, KEY_PREFIX + duty
+        self._driver, self._coordinator, self._ledger = driver, coordinator, ledger
+        self._leads, self._now, self._unix_ms = leads, now, unix_ms
+        self._carry_out, self._log = carry_out, log
+        self._recent_holders = RecentHolders(bar_ms)
+        self.state = DutyState()
+        self._index = 0  # of the record's entry that set it
+        self._refused_epoch = 0  # the newest that a holder has been refused under
+        self._accepted_until = 0  # windows that the platform has, as the holder says
+        self._change: asyncio.Task[None] | None = None
+        self._reason = ""  # of the change of holder that is proposed
+        coordinator.duties_for = self._snapshot_for
+
+    def apply(self, values: dict[str, Any]) -> None:
+        """What the record's values are now."""
+        value = values.get(self._key)
+        if value is None or value.index == self._index:
+            return
+        before, self._index = self.state, value.index
+        self.state = DutyState.load(value.data)
+        self._recent_holders.observe(self._now(), self.state)
+        self._ledger.sealed(self.state.sealed_until)
+        if self._leads():
+            self._tell(before)
+            self._log_change(before)
+
+    def become_leader(self) -> None:
+        """This process leads from now on; members tell it all that they know when they join."""
+        self._ledger.clear()
+        self._accepted_until = 0
+
+    def heard(self, status: MemberStatus) -> None:
+        """What a member has said of itself, in a join or a renewal."""
+        if status.usage or status.usage_settled:
+            self._ledger.heard(status.incarnation, UsageStatus(status.usage, status.usage_settled))
+        report = status.duties.get(self._duty)
+        if report is None or report.epoch != self.state.epoch:
+            return
+        self._accepted_until = max(self._accepted_until, report.accepted_until)
+        if report.refused:
+            self._refused_epoch = max(self._refused_epoch, report.epoch)
+
+    def tick(self) -> None:
+        """What is due."""
+        now = self._now()
+        is_under_way = self._change is not None and not self._change.done()
+        if is_under_way or not self._leads() or not self._coordinator.knows_members(now):
+            return
+        wanted = self._wanted(now)
+        if wanted != self.state:
+            self._change = asyncio.get_running_loop().create_task(self._propose(wanted))
+
+    async def _propose(self, wanted: DutyState) -> None:
+        """Where it is not agreed on, the next tick decides anew."""
+        await self._driver.propose(put(self._key, wanted.dump(), self._index))
+
+    # What is to be in force
+
+    def _wanted(self, now: float) -> DutyState:
+        unix_ms = self._unix_ms()
+        state = self._with_holder(now, unix_ms, self.state)
+        state = self._with_sealed_windows(unix_ms, state)
+        if state == self.state:
+            return state
+        return duty_state.bounded(duty_state.without_accepted(state, self._accepted_until)).state
+
+    def _with_holder(self, now: float, unix_ms: float, state: DutyState) -> DutyState:
+        members = self._coordinator.members
+        holder = self._candidate(state.holder) if state.holder in members else None
+        reason = reason_to_change(state, holder, self._refused_epoch)
+        if not reason:
+            return state
+        candidates = {name: self._candidate(name) for name, one in members.items() if one.registered}
+        chosen = next_holder(self._duty, state, candidates, self._recent_holders.barred(now))
+        if chosen is None:
+            return state
+        self._reason = reason
+        if not state.sealed_until:
+            state = duty_state.begins(self._ledger.window_at(unix_ms))
+        return duty_state.with_holder(state, chosen.host, chosen.node, chosen.incarnation, unix_ms)
+
+    def _candidate(self, name: str) -> Candidate:
+        member = self._coordinator.members[name]
+        is_able = member.registered and not member.leaving and name not in self._coordinator.retiring
+        return Candidate(name, member.node, member.incarnation, is_able)
+
+    def _with_sealed_windows(self, unix_ms: float, state: DutyState) -> DutyState:
+        """All that may be, in order; of more than are kept the newest."""
+        if not state.epoch:
+            return state
+        present = [one.incarnation for one in self._coordinator.members.values() if one.role == "store"]
+        newest = self._ledger.window_at(unix_ms) - MAX_OWED_WINDOWS
+        if newest > state.sealed_until and self._ledger.may_seal(newest, unix_ms, present):
+            state = duty_state.skipped_to(state, newest)
+        window = state.sealed_until + 1
+        while self._ledger.may_seal(window, unix_ms, present):
+            state = duty_state.with_sealed_window(state, window, self._ledger.totals(window))
+            window += 1
+        return state
+
+    # What stores are told
+
+    def _notice(self, sealed: dict[int, dict[str, int]]) -> DutyNotice:
+        state = self.state
+        oldest = min(state.sealed, default=state.sealed_until + 1)
+        return DutyNotice(self._duty, state.epoch, state.holder, state.incarnation, oldest, sealed)
+
+    def _snapshot_for(self, name: str) -> list[DutyNotice] | None:
+        if not self.state.epoch:
+            return None
+        return [self._notice(self.state.sealed if name == self.state.holder else {})]
+
+    def _tell(self, before: DutyState) -> None:
+        """All stores of a change of holder; of windows the holder alone."""
+        state = self.state
+        if state.epoch != before.epoch:
+            stores = [name for name, one in self._coordinator.members.items() if one.role == "store"]
+            notices = {name: self._snapshot_for(name) or [] for name in stores}
+        else:
+            new = {window: counts for window, counts in state.sealed.items() if window not in before.sealed}
+            notices = {state.holder: [self._notice(new)]}
+        self._carry_out(self._coordinator.tell_duties(notices))
+
+    def _log_change(self, before: DutyState) -> None:
+        state = self.state
+        if state.epoch != before.epoch:
+            self._log.event(
+                "duty_holder",
+                duty=self._duty,
+                epoch=state.epoch,
+                holder=state.node,
+                birth=state.incarnation,
+                before=before.node,
+                why=self._reason,
+                owed=len(state.sealed),
+            )
+        for window in sorted(state.sealed):
+            if window > before.sealed_until:
+                self._log_sealed(window)
+        self._log_dropped(before)
+
+    def _log_dropped(self, before: DutyState) -> None:
+        """With their counts where they were sealed: nothing else has them any more."""
+        oldest = min(self.state.sealed, default=self.state.sealed_until + 1)
+        if before.sealed_until and before.sealed_until + 1 < oldest:
+            self._log.event("usage_dropped", first=before.sealed_until + 1, last=oldest - 1)
+        for window, counts in before.sealed.items():
+            if window not in self.state.sealed and window > self._accepted_until:
+                self._log.event("usage_dropped", first=window, last=window, counts=counts)
+
+    def _log_sealed(self, window: int) -> None:
+        counts = self.state.sealed[window]
+        self._log.event("usage_sealed", window=window, tenants=len(counts), total=sum(counts.values()))
--- a/sableford/control/member_client.py
+++ b/sableford/control/member_client.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
+import msgspec
+
 from sableford.common.log import EventLog
 from sableford.control.protocol import (
     ConfigurationVersion,
@@ -27,6 +29,8 @@
 from sableford.control.timing import LEASE_MS, QUORUM_FRESH_MS, RENEW_MS
 from sableford.control.view import View
 from sableford.control.workers import Worker, WorkerTable
+from sableford.duties.messages import DutyNotice
+from sableford.duties.usage_counts import UsageStatus
 from sableford.transport.errors import CallError
 from sableford.transport.link import Link
 from sableford.transport.link_pool import LinkPool
@@ -87,6 +91,9 @@
         self.on_worker: list[Callable[[str | None], object]] = []
         self.on_lease: list[Callable[[float], object]] = []
         self.on_joined: list[Callable[[JoinResponse], object]] = []
+        self.on_duties: list[Callable[[list[DutyNotice]], object]] = []
+        # What was counted here: all of it for a join, which is what the flag says, else what has changed.
+        self.usage: Callable[[bool], UsageStatus] = lambda is_join: UsageStatus()
         self.peers_on_disk: Callable[[], set[str]] = set  # others that the own disk knows of
         self._hint = ""
         self._hints: deque[str] = deque(maxlen=MAX_HINTS)  # leaders that were named; no seed may be one
@@ -156,7 +163,7 @@
         self._lapsed = self._lapsed or sent_at >= self.lease
         request: JoinRequest = with_status(
             JoinRequest,
-            self._status(),
+            self._status_with_usage(is_join=True),
             view=self.view,
             least_term=self.term,
             departed=self.worker_table.departures(sent_at),
@@ -185,7 +192,8 @@
         while True:
             await asyncio.sleep(RENEW_MS / 1000.0)
             sent_at = self.now()
-            response = await self._call(self._leader_link, self._renewal())
+            status = self._status_with_usage(is_join=False)
+            response = await self._call(self._leader_link, self._renewal(status))
             if response is None or not response.accepted:
                 self._hint = (response.leader if response is not None else "") or self._hint
                 self._log.event("left_leader", leader=self.leader, answered=response is not None)
@@ -193,16 +201,21 @@
                 return
             self._extend_lease(sent_at)
 
-    def _renewal(self) -> RenewRequest:
+    def _status_with_usage(self, is_join: bool) -> MemberStatus:
+        """Only in requests whose answer is looked at: what one did not take, the next join tells."""
+        usage = self.usage(is_join)
+        return msgspec.structs.replace(self._status(), usage=usage.counts, usage_settled=usage.settled)
+
+    def _renewal(self, status: MemberStatus) -> RenewRequest:
         renewal: RenewRequest = with_status(
-            RenewRequest, self._status(), update_number=self.update_number, term=self.term
+            RenewRequest, status, update_number=self.update_number, term=self.term
         )
         return renewal
 
     def renew_now(self) -> None:
         """Something of what this process says of itself has changed."""
         if self._leader_link is not None and not self._leader_link.closed:
-            future = self._leader_link.request(self._renewal())
+            future = self._leader_link.request(self._renewal(self._status()))
             future.add_done_callback(lambda done: done.exception())
 
     def _extend_lease(self, sent_at: float) -> None:
@@ -248,6 +261,9 @@
         self.term, self.update_number = update.term, update.number
         if update.config is not None:
             self._apply_configuration(update.config)
+        if update.duties is not None:  # before a view, which may put the lease in force
+            for notify in self.on_duties:
+                notify(update.duties)
         if update.view is not None:
             self._apply_view(update.view, update.term)
         self._apply_workers(update)
--- a/sableford/control/member_sessions.py
+++ b/sableford/control/member_sessions.py
@@ -11,6 +11,7 @@
 from sableford.control.protocol import (
     JoinRequest,
     JoinResponse,
+    MemberStatus,
     RenewRequest,
     RenewResponse,
     UpdateAcknowledgement,
@@ -41,6 +42,7 @@
         self.loop: asyncio.AbstractEventLoop = asyncio.get_running_loop()
         self._links: dict[str, Link] = {}
         self._waits: dict[int, asyncio.Future[bool]] = {}
+        self.on_status: list[Callable[[MemberStatus], object]] = []  # get what members say of themselves
 
     def end_all(self) -> None:
         """This process leads no more."""
@@ -73,6 +75,7 @@
             return
         self._links[incoming.sender] = incoming.link
         incoming.respond(JoinResponse(True, coordinator.term, self._voters()))
+        self._notify_status(request)
         self.carry_out(coordinator.joined(self._now(), incoming.sender, request))
 
     def handle_renewal(self, incoming: IncomingMessage[RenewRequest], retries: int = RENEW_RETRIES) -> None:
@@ -88,11 +91,16 @@
             incoming.respond(RenewResponse(False, self._leader()))
             return
         incoming.respond(RenewResponse(True))
+        self._notify_status(request)
         self.carry_out(
             self._coordinator.acknowledged(self._now(), sender, request.incarnation, request.update_number)
         )
         self.carry_out(self._coordinator.after_renewals(self._now()))
 
+    def _notify_status(self, status: MemberStatus) -> None:
+        for notify in self.on_status:
+            notify(status)
+
     def handle_acknowledgement(self, incoming: IncomingMessage[UpdateAcknowledgement]) -> None:
         """A member has applied an update of this lead."""
         is_member = self._leads() and self._links.get(incoming.sender) is incoming.link
--- a/sableford/control/protocol.py
+++ b/sableford/control/protocol.py
@@ -10,6 +10,7 @@
 
 from sableford.control.view import Number, View
 from sableford.control.workers import Worker
+from sableford.duties.messages import DutyNotice, DutyReport
 from sableford.transport.messages import PeerMessage, PeerRequest, PeerResponse
 
 
@@ -36,6 +37,9 @@
     safe: Number = (0, 0)  # the newest view under which all messages of its shards had their replicas
     safe_without_leaving: Number = msgspec.field(name="spares", default=(0, 0))  # the same, with nothing
     # counted that is on stores which leave; not sent by version 0.4
+    usage: dict[int, dict[str, int]] = {}  # deliveries that began here, by window and tenant: `UsageStatus`
+    usage_settled: int = 0  # windows up to this one will hardly change
+    duties: dict[str, DutyReport] = {}  # that it holds
 
 
 class JoinResponse(PeerResponse, frozen=True):
@@ -89,6 +93,7 @@
     worker: Worker | None = None  # one that is new or has changed
     removed_worker: str | None = msgspec.field(name="gone", default=None)
     worker_left: bool = msgspec.field(name="left", default=False)  # of the removed one: it will not be back
+    duties: list[DutyNotice] | None = None  # for stores only
 
 
 class UpdateAcknowledgement(PeerMessage, frozen=True, tag="ack"):
--- a/sableford/control/service.py
+++ b/sableford/control/service.py
@@ -8,6 +8,7 @@
     `configuration_keeper`  the configuration in force, proposals
     `roster_manager`        the roster, its changes
     `voter_manager`         who is to vote
+    `duty_manager`          the duties at the platform, where the settings name one
     `member_sessions`       the links of members, waits for updates
     `coordinator`           members under leases, whose each shard is, the list of workers
     `http_api`              the calls of workers and operators
@@ -25,6 +26,7 @@
 from sableford.control import orders
 from sableford.control.configuration_keeper import ConfigurationKeeper
 from sableford.control.coordinator import ALL_ROLES, Coordinator
+from sableford.control.duty_manager import USAGE_REPORT, DutyManager
 from sableford.control.effects import Effect
 from sableford.control.http_api import HttpApi
 from sableford.control.member_client import MemberClient
@@ -44,9 +46,11 @@
 from sableford.control.retirement import Phase
 from sableford.control.roster import Outcome, Roster
 from sableford.control.roster_manager import RosterManager
-from sableford.control.timing import QUORUM_FRESH_MS
+from sableford.control.timing import LEASE_MS, QUORUM_FRESH_MS
 from sableford.control.voter_manager import VoterManager
 from sableford.control.voter_selection import Tolerance
+from sableford.duties.time_of_day import TimeOfDay
+from sableford.duties.usage_ledger import UsageLedger
 from sableford.transport.http import Answer, Request
 from sableford.transport.link import Link
 from sableford.transport.link_pool import LinkPool
@@ -124,10 +128,31 @@
             now=lambda: self.now(),
             log=self.log,
         )
+        self._duty_manager = self._make_duty_manager(settings)
         self._http_api = HttpApi(self)
         self.links.on_refused.append(self._process_ended)
         self.links.on_up.append(self._link_up)
 
+    def _make_duty_manager(self, settings: Settings) -> DutyManager | None:
+        cloud_api, bounds = settings.cloud_api, settings.rule_bounds
+        if cloud_api is None or USAGE_REPORT not in cloud_api.duty_set:
+            return None
+        time_of_day = TimeOfDay(lambda: self.now(), lambda: self.unix_ms())
+        manager = DutyManager(
+            USAGE_REPORT,
+            self.driver,
+            self.coordinator,
+            UsageLedger(bounds.usage_window_s * 1000.0, bounds.usage_late_s * 1000.0),
+            bounds.lease_ms + LEASE_MS,
+            leads=lambda: self.leads,
+            now=lambda: self.now(),
+            unix_ms=time_of_day.unix_ms,
+            carry_out=self.carry_out,
+            log=self.log,
+        )
+        self.sessions.on_status.append(manager.heard)
+        return manager
+
     def now(self) -> float:
         """ms of the loop's clock."""
         return self.loop.time() * 1000.0
@@ -182,6 +207,8 @@
             self._voter_manager.update(now, self.leads)
             self._watch_lead()
         self.carry_out(self.coordinator.tick(now))
+        if self._duty_manager is not None:
+            self._duty_manager.tick()
         next_ms = min(TICK_MS, max(MIN_TICK_MS, self.driver.next_tick_in_ms()))
         self.loop.call_later(next_ms / 1000.0, self.tick)
 
@@ -210,6 +237,8 @@
             self._is_leader = True
             self._apply_values()
             self._voter_manager.become_leader(now)
+            if self._duty_manager is not None:
+                self._duty_manager.become_leader()
             self.carry_out(self.coordinator.become_leader(now, record.term, record.earlier_leader_until))
             self._roster_changed()
         elif self._is_leader and not record.leads:
@@ -252,6 +281,8 @@
         values = self.record.state_machine.values
         self._configuration.apply(values)
         self._roster_manager.apply(values)
+        if self._duty_manager is not None:
+            self._duty_manager.apply(values)
 
     def _configuration_changed(self, config: ConfigurationVersion) -> None:
         self.carry_out(self.coordinator.configuration_changed(self.now(), config))
--- a/sableford/control/update_waits.py
+++ b/sableford/control/update_waits.py
@@ -51,5 +51,6 @@
 
 
 def _is_applied(wait: _Wait, members: dict[str, Member]) -> bool:
+    """A member is sent the updates that concern it: the last of them may be an earlier one."""
     present = [members[name] for name in wait.names if name in members]
-    return all(member.acknowledged >= wait.update_number for member in present)
+    return all(member.acknowledged >= min(wait.update_number, member.sent) for member in present)
--- a/sableford/node/runtime.py
+++ b/sableford/node/runtime.py
@@ -5,7 +5,7 @@
 import asyncio
 import os
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -15,6 +15,7 @@
 from sableford.control.member_client import MemberClient
 from sableford.control.protocol import MemberStatus, Update
 from sableford.control.view import Number
+from sableford.duties.messages import DutyReport
 from sableford.transport.link import IncomingMessage
 from sableford.transport.link_pool import LinkPool
 from sableford.transport.messages import PROTOCOL_VERSION, HelloRequest
@@ -56,6 +57,7 @@
         self.loop = asyncio.get_running_loop()
         self.ending = asyncio.Event()
         self.store_status = StoreStatus()
+        self.duty_reports: Callable[[], dict[str, DutyReport]] = dict
         self.peer_server = PeerServer(self.me, self.incarnation, self.log)
         hello = HelloRequest(self.me, self.incarnation, role, PROTOCOL_VERSION)
         self.links = LinkPool(hello, self.port, self.peer_server.receive)
@@ -79,6 +81,7 @@
             node=self.settings.node_name,
             control=self.settings.bind_addrs.control_rpc or "",
             leaving=self.ending.is_set(),
+            duties=self.duty_reports(),
             **self.store_status._asdict(),
         )
 
--- a/sableford/store/delivery.py
+++ b/sableford/store/delivery.py
@@ -78,9 +78,11 @@
         entry: WorkerEntry,
         until_ms: float,
         may_send: Callable[[], bool] = lambda: True,
+        on_write: Callable[[], object] = lambda: None,
     ) -> Verdict:
         """One attempt, at most one request. `until_ms`: by the loop's clock. `may_send` is asked just before
-        the request is written: the right to send may have ended while the worker was dialled."""
+        the request is written: the right to send may have ended while the worker was dialled. `on_write` is
+        called as it is written."""
         self.deliveries += 1
         connection = self._idle_connection(entry.id)
         if connection is None:
@@ -95,6 +97,7 @@
         if not may_send():
             self._keep(entry.id, connection)
             return Verdict(Execution.NOT_RUN, "not this store's to send any more")
+        on_write()
         return await self._exchange(connection, message, body, entry, left)
 
     async def _dial(self, entry: WorkerEntry) -> ClientConnection:
--- a/sableford/store/effect_executor.py
+++ b/sableford/store/effect_executor.py
@@ -9,6 +9,7 @@
 
 from sableford.common.log import EventLog
 from sableford.control.view import Number
+from sableford.duties.usage_counts import UsageCounts
 from sableford.store.choice import Choice
 from sableford.store.delivery import DeliveryClient
 from sableford.store.message_storage import BodyReader, Clocks, MessageStorage
@@ -60,7 +61,7 @@
 
 
 class EffectExecutor:
-    """`spawn` runs a task of the store's own."""
+    """`spawn` runs a task of the store's own; `usage` counts deliveries, where somebody wants that."""
 
     def __init__(
         self,
@@ -72,10 +73,11 @@
         log: EventLog,
         now: Callable[[], float],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
+        usage: UsageCounts | None = None,
     ) -> None:
         self._queue, self._choice, self._links = queue, choice, links
         self._storage, self._bodies = storage, bodies
-        self._log, self._now, self._spawn = log, now, spawn
+        self._log, self._now, self._spawn, self._usage = log, now, spawn, usage
         self._loop = asyncio.get_running_loop()
         self.delivery_client = DeliveryClient()
 
@@ -285,10 +287,32 @@
         if body is None:
             return Verdict(Execution.NOT_RUN, "its bytes can't be read")
         message.body = body
-        return await self.delivery_client.deliver(
-            message, body, worker.entry, effect.until, lambda: self.may_send(effect)
+        counted = _CountedDelivery(self._usage, getattr(message.header, "tenant", ""))
+        verdict = await self.delivery_client.deliver(
+            message, body, worker.entry, effect.until, lambda: self.may_send(effect), counted.began
         )
+        if verdict.execution is Execution.NOT_RUN:
+            counted.did_not_run()
+        return verdict
 
     def may_send(self, effect: Deliver) -> bool:
         """Whether a delivery is still this store's to begin."""
         return self._queue.may_send(self._now(), effect.ref, effect.worker)
+
+
+class _CountedDelivery:
+    """One delivery in the counts of usage, where there are any and its message is a tenant's."""
+
+    def __init__(self, usage: UsageCounts | None, tenant: str) -> None:
+        self._usage, self._tenant = usage if tenant else None, tenant
+        self._window: int | None = None
+
+    def began(self) -> None:
+        """Its request is being written."""
+        if self._usage is not None:
+            self._window = self._usage.began(self._tenant)
+
+    def did_not_run(self) -> None:
+        """Its verdict proves that."""
+        if self._usage is not None and self._window is not None:
+            self._usage.took_back(self._tenant, self._window)
