--- a/sableford/common/settings.py
+++ b/sableford/common/settings.py
@@ -8,6 +8,7 @@
 
 VARIABLE = "SABLEFORD_SETTINGS"
 DEFAULT = "/etc/sableford/settings.yaml"
+USAGE_REPORT = "usage_report"  # of `cloudApi.dutySet`
 
 
 class SettingsError(Exception):
@@ -90,6 +91,11 @@
     rule_bounds: Bounds = msgspec.field(default_factory=Bounds)
     cloud_api: CloudApi | None = None
 
+    @property
+    def reports_usage(self) -> bool:
+        """Whether usage is to be reported to a platform."""
+        return self.cloud_api is not None and USAGE_REPORT in self.cloud_api.duty_set
+
     @property
     def seeds(self) -> list[str]:
         """The hosts of the seeds; their inner port is the own one, since ports are alike on all machines."""
--- a/sableford/control/duty_manager.py
+++ b/sableford/control/duty_manager.py
@@ -21,7 +21,6 @@
 from sableford.duties.usage_counts import UsageStatus
 from sableford.duties.usage_ledger import UsageLedger
 
-USAGE_REPORT = "usage_report"  # the duty's name in the settings
 KEY_PREFIX = "duty/"  # of the record's values
 
 
--- a/sableford/control/service.py
+++ b/sableford/control/service.py
@@ -21,12 +21,12 @@
 
 from sableford.common.disk import Disk
 from sableford.common.log import EventLog
-from sableford.common.settings import Settings
+from sableford.common.settings import USAGE_REPORT, Settings
 from sableford.consensus.raft_node import RaftNode
 from sableford.control import orders
 from sableford.control.configuration_keeper import ConfigurationKeeper
 from sableford.control.coordinator import ALL_ROLES, Coordinator
-from sableford.control.duty_manager import USAGE_REPORT, DutyManager
+from sableford.control.duty_manager import DutyManager
 from sableford.control.effects import Effect
 from sableford.control.http_api import HttpApi
 from sableford.control.member_client import MemberClient
@@ -49,6 +49,7 @@
 from sableford.control.timing import LEASE_MS, QUORUM_FRESH_MS
 from sableford.control.voter_manager import VoterManager
 from sableford.control.voter_selection import Tolerance
+from sableford.duties.state import DutyState
 from sableford.duties.time_of_day import TimeOfDay
 from sableford.duties.usage_ledger import UsageLedger
 from sableford.transport.http import Answer, Request
@@ -134,8 +135,8 @@
         self.links.on_up.append(self._link_up)
 
     def _make_duty_manager(self, settings: Settings) -> DutyManager | None:
-        cloud_api, bounds = settings.cloud_api, settings.rule_bounds
-        if cloud_api is None or USAGE_REPORT not in cloud_api.duty_set:
+        bounds = settings.rule_bounds
+        if not settings.reports_usage:
             return None
         time_of_day = TimeOfDay(lambda: self.now(), lambda: self.unix_ms())
         manager = DutyManager(
@@ -192,6 +193,11 @@
         """The roster in force, as far as is known here."""
         return self._roster_manager.roster
 
+    @property
+    def duty_state(self) -> DutyState:
+        """Who has the duty of usage reports, as far as is known here."""
+        return self._duty_manager.state if self._duty_manager is not None else DutyState()
+
     def stable_voters(self) -> dict[str, str] | None:
         """Who votes, by name with the id of each one's disk; None while that is changing."""
         return self.driver.stable_voters()
--- a/sableford/duties/succession.py
+++ b/sableford/duties/succession.py
@@ -6,8 +6,8 @@
     leaves or is being emptied        the same
     is no member, or another life     the same
 
-The next is the first after the holder in order that may hold it and did not hold it of late; where all did,
-the one whose time is longest past.
+The next is the first after the holder in order that may hold it and did not hold it of late. The holder
+itself, under the next epoch, comes last. Where there is none, the duty waits: nobody is barred for long.
 """
 
 from collections.abc import Collection, Iterable, Mapping
@@ -52,17 +52,14 @@
 def next_holder(
     duty: str, state: DutyState, candidates: Mapping[str, Candidate], barred: Collection[str]
 ) -> Candidate | None:
-    """None where no store may hold it. `barred`: nodes that held it of late."""
+    """None where no store may hold it now. `barred`: nodes that held it of late."""
     order = ranked(duty, {*candidates, state.holder} - {""})
     start = order.index(state.holder) + 1 if state.holder else 0
-    there = [candidates[host] for host in order[start:] + order[:start] if host in candidates]
-    able = [candidate for candidate in there if candidate.able]
-    for candidate in able:
-        if candidate.node not in barred:
+    for host in order[start:] + order[:start]:
+        candidate = candidates.get(host)
+        if candidate is not None and candidate.able and candidate.node not in barred:
             return candidate
-    last_held = {node: place for place, node in enumerate(state.previous)}
-    able.sort(key=lambda candidate: last_held.get(candidate.node, -1))
-    return able[0] if able else None
+    return None
 
 
 class RecentHolders:
--- a/sableford/simulation/control/__main__.py
+++ b/sableford/simulation/control/__main__.py
@@ -30,7 +30,7 @@
     fields = ("stores", "losses", "edges", "operators", "workers", "pace_ms")
     told = {name: value for name in fields if (value := getattr(given, name)) is not None}
     kinds = tuple(given.kinds.split(",")) if given.kinds else ()
-    return shape._replace(**told, exceed=given.exceed, kinds=kinds)
+    return shape._replace(**told, exceed=given.exceed, kinds=kinds, duties=given.duties)
 
 
 def arguments() -> argparse.Namespace:
@@ -43,6 +43,7 @@
     parser.add_argument("--pace-ms", type=float)
     parser.add_argument("--kinds", default="", help="faults that may come, with commas")
     parser.add_argument("--exceed", action="store_true", help="more losses than are tolerated: safety alone")
+    parser.add_argument("--duties", action="store_true", help="with a platform that usage is reported to")
     parser.add_argument("--story", action="store_true", help="the whole story of a finding")
     return parser.parse_args()
 
--- a/sableford/simulation/control/cluster.py
+++ b/sableford/simulation/control/cluster.py
@@ -11,17 +11,26 @@
 from typing import Any
 from unittest import mock
 
-from sableford.common.settings import Addresses, Settings, Tolerates
+from sableford.common.settings import (
+    USAGE_REPORT,
+    Addresses,
+    Bounds,
+    CloudApi,
+    Settings,
+    Tolerates,
+)
 from sableford.node import runtime as node_runtime
 from sableford.simulation.control.disk import Platter, SimulatedDisk
 from sableford.simulation.control.event_loop import Process, Run, SimulatedLoop
 from sableford.simulation.control.network import Network
+from sableford.simulation.control.platform import HOST, PORT, Platform
 from sableford.simulation.control.programs import EdgeProgram, Program, StoreProgram
 from sableford.transport.http import Answer, Request
 
 INNER_PORT, CONTROL_PORT = 7300, 8262
 SILENCE_S = 1.0  # of an answer: then a caller goes on to another machine
 LATE, LATE_S = 0.5, (1.0, 4.0)  # share of lost requests that arrive after all, and how much later
+USAGE_WINDOW_S, USAGE_LATE_S = 2.0, 8.0
 SEEDS = 3  # addresses given in each settings file
 SNAP_AFTER, SNAP_KEEP = 240, 200  # entries: few, so that a walk of hundreds of orders goes through snapshots
 
@@ -100,6 +109,7 @@
         self.network = Network(loop, Random(chance.random()))
         self.machines: dict[str, Machine] = {}
         self.lost_requests = self.lost_answers = 0.0  # shares of calls from outside
+        self.platform: Platform | None = None  # where there are duties
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
@@ -141,6 +151,8 @@
             bootstrap=machine.bootstrap,
             quorum_member=machine.role == "store",
             tolerates=Tolerates(machine_loss=self.losses),
+            rule_bounds=Bounds(usage_window_s=USAGE_WINDOW_S, usage_late_s=USAGE_LATE_S),
+            cloud_api=CloudApi(f"{HOST}:{PORT}", [USAGE_REPORT]) if self.platform is not None else None,
         )
 
     def start(self, machine: Machine) -> None:
@@ -154,7 +166,9 @@
         settings, chance = self.settings(machine), Random(self._chance.random())
         if machine.role == "store":
             machine.disk = SimulatedDisk(machine.platter, machine.process)
-            machine.program = StoreProgram(settings, machine.process, chance, self._watcher, machine.disk)
+            machine.program = StoreProgram(
+                settings, machine.process, chance, self._watcher, machine.disk, self.platform
+            )
         else:
             machine.program = EdgeProgram(settings, machine.process, chance, self._watcher)
         machine.program.runtime.spawn(machine.program.main())
--- a/sableford/simulation/control/faults.py
+++ b/sableford/simulation/control/faults.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any
 
+from sableford.simulation.control import platform
 from sableford.simulation.control.cluster import Cluster, Machine
 from sableford.simulation.control.judges import Judges
 from sableford.simulation.control.operators import Retirer
@@ -55,6 +56,13 @@
             "seeds": self._seeds,
             "edge": self._edge,
         }
+        if cluster.platform is not None:
+            self._kinds |= {
+                "platform": self._platform,
+                "platform_cut": self._platform_cut,
+                "kill_holder": self._kill_holder,
+                "freeze_holder": self._freeze_holder,
+            }
         self._allowed = [kind for kind in kinds or self._kinds if not (exceed and kind in LOSE_DISKS)]
 
     # The core as the rules see it
@@ -276,6 +284,55 @@
         await self._last()
         self.cluster.thaw(process)
 
+    # The platform, and who has the duty
+
+    async def _platform(self, machine: Machine) -> None:
+        """Slow, busy, silent, or its answers are lost."""
+        place = self.cluster.platform
+        if place.mood != "up":
+            return
+        place.mood = self.chance.choice(("slow", "busy", "silent", "lossy"))
+        self._judges.tell("fault", what=f"platform {place.mood}")
+        await self._last()
+        place.mood = "up"
+
+    async def _platform_cut(self, machine: Machine) -> None:
+        """One machine is cut off from it, both ways or one; no loss of a machine."""
+        machine = self._holder() or machine
+        pairs = [(machine.host, platform.HOST), (platform.HOST, machine.host)]
+        pairs = self.chance.choice((pairs, pairs[:1], pairs[1:]))
+        self._judges.tell("fault", what="platform cut", machine=machine.node, pairs=pairs)
+        for pair in pairs:
+            self.cluster.network.cut(*pair)
+        await self._sleep(*FAULTS_SHORT_MS)
+        for pair in pairs:
+            self.cluster.network.heal(*pair)
+
+    def _holder(self) -> Machine | None:
+        """Who has the duty, as the leader knows it."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return None
+        holder = self.cluster.machines.get(leader.program.control.duty_state.holder)
+        return holder if holder in self.cluster.running_stores() else None
+
+    async def _kill_holder(self, machine: Machine) -> None:
+        """And those who follow it, as far as their loss is borne; with the leader at times."""
+        for _ in range(self.chance.choice((1, 1, 2, 3))):
+            holder = self._holder()
+            if holder is not None and holder not in self.lost():
+                await self._kill(holder)
+
+    async def _freeze_holder(self, machine: Machine) -> None:
+        """Past its lease, and woken again."""
+        holder = self._holder()
+        if holder is None or holder in self.lost() or self._spare() < 1:
+            return
+        with self._trouble(holder, "freeze holder"):
+            process = self.cluster.freeze(holder)
+            await self._sleep(500.0, 4000.0)
+            self.cluster.thaw(process)
+
     # All at once
 
     async def _power_all(self, machine: Machine) -> None:
@@ -363,6 +420,8 @@
 
     def heal(self) -> None:
         """Whatever was under way is over: all that is not gone runs."""
+        if self.cluster.platform is not None:
+            self.cluster.platform.mood = "up"
         self.cluster.network.heal_all()
         for machine in self.cluster.machines.values():
             if machine.gone:
--- a/sableford/simulation/control/programs.py
+++ b/sableford/simulation/control/programs.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 from typing import Any, ClassVar
 
 import msgspec
@@ -16,6 +17,8 @@
 from sableford.node.runtime import Runtime, StoreStatus
 from sableford.simulation.control.disk import SimulatedDisk
 from sableford.simulation.control.event_loop import Process
+from sableford.simulation.control.platform import Platform, Traffic
+from sableford.store.duties import StoreDuties
 from sableford.transport.errors import CallError
 from sableford.transport.http import Answer, Request
 from sableford.transport.link import IncomingMessage
@@ -100,7 +103,13 @@
     role = "store"
 
     def __init__(
-        self, settings: Settings, process: Process, chance: Any, watcher: Any, disk: SimulatedDisk
+        self,
+        settings: Settings,
+        process: Process,
+        chance: Any,
+        watcher: Any,
+        disk: SimulatedDisk,
+        platform: Platform | None = None,
     ) -> None:
         super().__init__(settings, process, chance, watcher)
         self.disk = disk
@@ -118,6 +127,15 @@
         if self.storage.fresh:
             disk.write(self.storage.begin(sorted(settings.seeds) if settings.bootstrap else ()))
         self._update_status()
+        if platform is not None:
+            self._take_part_in_duties(platform)
+
+    def _take_part_in_duties(self, platform: Platform) -> None:
+        duties = StoreDuties(self.runtime, self.member)
+        duties.start()
+        traffic_chance = Random(self._chance.random())
+        traffic = Traffic(platform, duties.usage, traffic_chance, self.member.holds_lease)
+        self.runtime.spawn(traffic.run())
 
     async def main(self) -> None:
         await super().main()
--- a/sableford/simulation/control/walk.py
+++ b/sableford/simulation/control/walk.py
@@ -7,17 +7,26 @@
 
 from sableford.common.settings import Bounds
 from sableford.control.protocol import ConfigurationVersion
-from sableford.simulation.control.cluster import SNAP_AFTER, SNAP_KEEP, Cluster, surroundings
+from sableford.simulation.control.cluster import (
+    SNAP_AFTER,
+    SNAP_KEEP,
+    USAGE_LATE_S,
+    USAGE_WINDOW_S,
+    Cluster,
+    surroundings,
+)
 from sableford.simulation.control.event_loop import Process, SimulatedLoop
 from sableford.simulation.control.faults import Faults
 from sableford.simulation.control.judges import Finding, Judges
 from sableford.simulation.control.operators import Caller, Operator
+from sableford.simulation.control.platform import Platform
 from sableford.simulation.control.workers import Worker
 
 BEGIN_S = 12.0  # at most, for all to come together the first time: traffic begins no sooner
 STOP_S = 26.0  # at most, for faults under way to end
 SETTLE_S = 16.0  # at most, for all to catch up after the last fault: quietMs, syncS and an order's time
 READ_S = 8.0  # at most, for the closing calls
+QUIET_WINDOWS = 3  # of usage, that are looked at in the end
 STEP_S = 0.25  # between two looks at whether that is done
 MOST_BYTES = 3_000_000  # of one store's disk at the end: a snapshot and as many entries as may be left
 MOST_ENTRIES = 3 * (SNAP_AFTER + SNAP_KEEP)  # left on one disk
@@ -35,6 +44,7 @@
     pace_ms: float = 600.0  # between two orders of an operator
     exceed: bool = False
     kinds: tuple[str, ...] = ()
+    duties: bool = False  # a platform is there, and usage is reported to it
 
     @classmethod
     def drawn(cls, seed: int, seconds: float) -> "Shape":
@@ -90,7 +100,7 @@
             for name, value in self.shape._asdict().items()
             if value is not False and value != ()
         )
-        given = given.replace("--exceed True", "--exceed")
+        given = given.replace("--exceed True", "--exceed").replace("--duties True", "--duties")
         return f"python -m sableford.simulation.control --seeds {self.seed}:{self.seed + 1} {given} --story"
 
     def _until(self, seconds: float, done: Callable[[], bool] = lambda: False) -> None:
@@ -122,12 +132,22 @@
         self.faults.heal()
         self.cluster.lost_requests = self.cluster.lost_answers = 0.0
         self._until(SETTLE_S, self._caught_up)
+        if self.cluster.platform is not None and not self.shape.exceed:
+            self._check_usage(self.cluster.platform)
         for caller in [*self._operators, *self._workers]:
             caller.stopping = True
         self._until(READ_S, lambda: all(task.done() for task in self._calling))
         if self.judges.finding is None:
             self._close()
 
+    def _check_usage(self, platform: Platform) -> None:
+        """Some windows of a quiet time."""
+        self._until(USAGE_LATE_S)  # what was late has come
+        first = int(self.loop.time() // USAGE_WINDOW_S) + 1
+        self._until((QUIET_WINDOWS + 1) * USAGE_WINDOW_S + USAGE_LATE_S)
+        if self.judges.finding is None:
+            platform.check(first, first + QUIET_WINDOWS - 1)
+
     def _begun(self) -> bool:
         """A leader, and as many voters as the losses to be borne ask for."""
         leader = self.cluster.leader()
@@ -149,6 +169,10 @@
         shape, chance = self.shape, self.chance
         self.faults = Faults(self.cluster, Random(chance.random()), self.judges, shape.exceed, shape.kinds)
         self.judges.settled = self.faults.settled
+        if shape.duties:
+            lease_ms = self.judges.bounds.lease_ms
+            platform_chance = Random(f"platform {self.seed}")
+            self.cluster.platform = Platform(self.cluster.network, platform_chance, lease_ms, self.judges)
         for at in range(shape.stores):
             self.cluster.add("store", f"zone-{at % 3}")
         for at in range(shape.edges):
--- a/sableford/store/server.py
+++ b/sableford/store/server.py
@@ -13,20 +13,15 @@
 
 from sableford.common.disk import Disk
 from sableford.common.settings import address
-from sableford.control.duty_manager import USAGE_REPORT
 from sableford.control.member_client import configuration_until
 from sableford.control.protocol import ConfigurationVersion
 from sableford.control.record_storage import RecordStorage
 from sableford.control.service import ControlService
 from sableford.control.view import Number, View
-from sableford.duties.duty_holder import DutyHolder
-from sableford.duties.holding import Holding
-from sableford.duties.platform_client import PlatformClient
-from sableford.duties.time_of_day import TimeOfDay
-from sableford.duties.usage_counts import UsageCounts
 from sableford.node.runtime import Runtime, StoreStatus
 from sableford.store.choice import Choice, WorkerEntry
 from sableford.store.departure import may_end
+from sableford.store.duties import StoreDuties
 from sableford.store.effect_executor import EffectExecutor
 from sableford.store.message_storage import BodyReader, Clocks, MessageStorage
 from sableford.store.peer_requests import PeerRequests
@@ -66,8 +61,7 @@
         self._http_bounds = Bounds()
         self._http_bounds.body = MAX_CONTROL_BODY_BYTES
         self._http_server = HttpServer(self.control.handle, self._http_bounds)
-        self._usage = self._make_usage_counts()
-        self._duty_holder = self._make_duty_holder()
+        self._duties = StoreDuties(runtime, self.member) if settings.reports_usage else None
         self._written_zones: dict[str, str] = {}  # on the own disk
         self._status_at = 0.0  # when the status was worked out last
 
@@ -83,7 +77,8 @@
         self.member.on_lease.append(self._lease_extended)
         self.member.on_joined.append(self.control.joined_leader)
         self.links.on_up.append(self._link_up)
-        self._take_part_in_duties()
+        if self._duties is not None:
+            self._duties.start()
         await runtime.listen()
         self.control.start(self._record_storage)
         if settings.bind_addrs.control_rpc:
@@ -94,42 +89,6 @@
         await runtime.ending.wait()
         await self._leave()
 
-    # Duties at the platform
-
-    def _make_usage_counts(self) -> UsageCounts | None:
-        settings = self.runtime.settings
-        cloud_api, bounds = settings.cloud_api, settings.rule_bounds
-        if cloud_api is None or USAGE_REPORT not in cloud_api.duty_set:
-            return None
-        time_of_day = TimeOfDay(self.runtime.now, lambda: time.time() * 1000.0)
-        window_ms, retain_ms = bounds.usage_window_s * 1000.0, bounds.usage_late_s * 1000.0
-        return UsageCounts(window_ms, retain_ms, time_of_day.unix_ms)
-
-    def _make_duty_holder(self) -> DutyHolder | None:
-        runtime, settings = self.runtime, self.runtime.settings
-        cloud_api = settings.cloud_api
-        if cloud_api is None or USAGE_REPORT not in cloud_api.duty_set:
-            return None
-        host, port = address(cloud_api.address)
-        return DutyHolder(
-            USAGE_REPORT,
-            Holding(runtime.me, runtime.incarnation),
-            PlatformClient(host, port, settings.node_name),
-            min(cloud_api.duty_rate_s, cloud_api.rate_per_s),
-            holds_lease=self.member.holds_lease,
-            leaving=runtime.ending.is_set,
-            on_refused=self.member.renew_now,
-            log=self.log,
-        )
-
-    def _take_part_in_duties(self) -> None:
-        if self._usage is not None:
-            self.member.usage = self._usage.status
-        if self._duty_holder is not None:
-            self.member.on_duties.append(self._duty_holder.heard)
-            self.runtime.duty_reports = self._duty_holder.reports
-            self.runtime.spawn(self._duty_holder.run())
-
     # The start
 
     def _open(self) -> None:
@@ -154,7 +113,7 @@
             self.log,
             runtime.now,
             runtime.spawn,
-            self._usage,
+            self._duties.usage if self._duties is not None else None,
         )
         self.peer_requests = PeerRequests(
             self.queue, self.executor, storage, bodies, self.choice, runtime.now, runtime.spawn
--- /dev/null
+++ b/tests/duties.py
@@ -0,0 +1,361 @@
+"""Duties at the platform: tables of state, succession, counts and windows, without I/O."""
+
+import asyncio
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sableford.common.settings import SettingsError, parse
+from sableford.duties import state as duty_state
+from sableford.duties.duty_holder import DutyHolder
+from sableford.duties.holding import Holding
+from sableford.duties.messages import DutyNotice, DutyReport
+from sableford.duties.platform_client import CallOutcome, Verdict
+from sableford.duties.state import DutyState
+from sableford.duties.succession import Candidate, RecentHolders, next_holder, ranked, reason_to_change
+from sableford.duties.time_of_day import FOLLOW_AFTER_MS, TimeOfDay
+from sableford.duties.usage_counts import REPORT_INTERVAL_MS, SETTLE_MS, UsageCounts, UsageStatus
+from sableford.duties.usage_ledger import UsageLedger
+
+DUTY = "usage_report"
+ORDER = ranked(DUTY, "abcd")
+COUNTS = st.dictionaries(st.integers(1, 99), st.dictionaries(st.sampled_from("abc"), st.integers(0, 9)))
+
+
+def sealed(*windows: int) -> DutyState:
+    state = duty_state.begins(windows[0])
+    for window in windows:
+        state = duty_state.with_sealed_window(state, window, {"t": window})
+    return state
+
+
+def candidates(hosts: str) -> dict[str, Candidate]:
+    return {host: Candidate(host, f"node-{host}", f"{host}.1") for host in hosts}
+
+
+# The agreed state
+
+
+# A later holder that sent other bytes for a window than an earlier one.
+@given(COUNTS)
+@settings(max_examples=60, deadline=None)
+def shows_what_is_sealed_is_the_same_after_it_was_written_and_read(counts: dict) -> None:
+    state = duty_state.begins(min(counts, default=1))
+    for window in range(state.sealed_until + 1, max(counts, default=0) + 1):
+        state = duty_state.with_sealed_window(state, window, counts.get(window, {}))
+    state = duty_state.with_holder(state, "h", "n", "i", 5.0)
+    read = DutyState.load(state.dump())
+    assert read == state and [*read.sealed] == [*state.sealed]
+    assert [[*one] for one in read.sealed.values()] == [[*one] for one in state.sealed.values()]
+
+
+# A window left out, or sealed twice with other counts.
+def shows_windows_are_sealed_one_after_the_other_and_once() -> None:
+    state = sealed(7, 8)
+    for window in (7, 8, 10):
+        try:
+            duty_state.with_sealed_window(state, window, {})
+        except ValueError:
+            continue
+        raise AssertionError(window)
+
+
+# A platform that is down for an hour and a record that grows with it; windows sealed again once they went.
+def shows_no_more_than_so_many_windows_are_owed_and_what_is_sealed_never_falls() -> None:
+    state, dropped = duty_state.bounded(sealed(*range(1, 8)), most=4)
+    assert [*state.sealed] == [4, 5, 6, 7] and [*dropped] == [1, 2, 3]
+    state = duty_state.without_accepted(state, 7)
+    assert not state.sealed and state.sealed_until == 7
+    assert duty_state.skipped_to(state, 3).sealed_until == 7
+    assert duty_state.skipped_to(state, 9).sealed_until == 9
+
+
+# One token for two holders.
+def shows_each_change_of_holder_has_an_epoch_of_its_own() -> None:
+    state, epochs = DutyState(), []
+    for host in "abab":
+        state = duty_state.with_holder(state, host, host, f"{host}.1", 0.0)
+        epochs.append(state.epoch)
+    assert epochs == [1, 2, 3, 4] and state.previous == ("a", "b", "a")
+
+
+# Who is next
+
+
+def shows_when_the_holder_changes() -> None:
+    state = duty_state.with_holder(DutyState(), "a", "node-a", "a.1", 0.0)
+    there = Candidate("a", "node-a", "a.1")
+    for holder, refused_epoch, reason in (
+        (there, 0, ""),
+        (None, 0, "no member"),
+        (there._replace(incarnation="a.2"), 0, "another incarnation"),
+        (there._replace(able=False), 0, "leaves"),
+        (there, 1, "refused"),
+    ):
+        assert reason_to_change(state, holder, refused_epoch) == reason, (holder, refused_epoch)
+    assert reason_to_change(DutyState(), None, 0)
+
+
+def shows_the_next_holder_is_the_first_in_order_that_may_have_it() -> None:
+    first, second, third, fourth = ORDER
+    state = duty_state.with_holder(DutyState(), second, f"node-{second}", "i", 0.0)
+    for there, barred, wanted in (
+        (ORDER, "", third),
+        ([first, second, fourth], "", fourth),
+        ([first, second], "", first),
+        ([second], "", second),  # nobody else: under the next epoch
+        (ORDER, third, fourth),
+        ([second, third], third, second),
+        ([third], third, None),  # it waits
+        ([], "", None),
+    ):
+        found = next_holder(DUTY, state, candidates("".join(there)), {f"node-{one}" for one in barred})
+        assert (found.host if found else None) == wanted, (there, barred)
+
+
+# A, B, A within `leaseMs`, also where a new leader did not see when A lost the duty.
+def shows_a_holder_that_was_followed_is_passed_over_for_a_while() -> None:
+    states = [DutyState()]
+    for host in "ab":
+        states.append(duty_state.with_holder(states[-1], host, host, f"{host}.1", 0.0))
+    seen_by_all, seen_late = RecentHolders(4000.0), RecentHolders(4000.0)
+    for now, state in ((0.0, states[1]), (1000.0, states[2])):
+        seen_by_all.observe(now, state)
+    seen_late.observe(3000.0, states[2])
+    assert seen_by_all.barred(4999.0) == {"a"} and not seen_by_all.barred(5001.0)
+    assert seen_late.barred(6999.0) == {"a"} and not seen_late.barred(7001.0)
+
+
+# What a store counts, what the leader makes of it
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.unix, self.steady = 1_000_000.0, 0.0
+
+
+def counting() -> tuple[UsageCounts, Clock]:
+    clock = Clock()
+    return UsageCounts(5000.0, 10_000.0, lambda: clock.unix), clock
+
+
+# Deliveries that a worker turned away unrun, counted all the same; counts that a renewal repeats in full.
+def shows_a_store_tells_what_has_changed_and_a_join_all() -> None:
+    counts, clock = counting()
+    window = counts.began("t")
+    counts.began("u")
+    counts.took_back("t", window)
+    assert counts.status(False).counts == {200: {"t": 0, "u": 1}}
+    clock.unix += REPORT_INTERVAL_MS / 2
+    counts.began("t")
+    assert counts.status(False) == UsageStatus()
+    clock.unix += REPORT_INTERVAL_MS
+    assert counts.status(False).counts == {200: {"t": 1}}
+    clock.unix += REPORT_INTERVAL_MS
+    assert counts.status(False).counts == {}
+    assert counts.status(True).counts == {200: {"t": 1, "u": 1}}
+    clock.unix += 20_000.0
+    assert counts.status(True).counts == {}
+
+
+def shows_a_window_is_settled_some_time_after_its_end() -> None:
+    counts, clock = counting()
+    for after_ms, settled in ((0.0, 198), (5000.0, 199), (5000.0 + SETTLE_MS, 200)):
+        clock.unix = 1_000_000.0 + after_ms
+        assert counts.status(True).settled == settled, after_ms
+
+
+# A window sealed before a store had told its last counts; one that a silent store holds up for ever; one that
+# a leader whose clock is ahead seals before it has begun.
+def shows_when_a_window_may_be_sealed() -> None:
+    end = 1_005_000.0  # of window 200
+    for settled, present, unix_ms, may in (
+        ({"a": 200, "b": 200}, "ab", end + 1100.0, True),
+        ({"a": 200, "b": 199}, "ab", end + 3999.0, False),
+        ({"a": 200, "b": 199}, "ab", end + 4000.0, False),  # no more than half
+        ({"a": 200, "b": 200, "c": 199}, "abc", end + 3999.0, False),
+        ({"a": 200, "b": 200, "c": 199}, "abc", end + 4000.0, True),
+        ({"a": 200, "b": 200, "c": 199}, "ab", end, True),  # c is away
+        ({}, "", end + 1e6, False),
+        ({"a": 199, "b": 199}, "ab", end + 3.6e6, False),
+    ):
+        ledger = UsageLedger(5000.0, 10_000.0)
+        for store, until in settled.items():
+            ledger.heard(store, UsageStatus({}, until))
+        assert ledger.may_seal(200, unix_ms, set(present)) is may, (settled, present, unix_ms - end)
+
+
+def shows_totals_are_of_all_stores_and_lives_with_the_newest_of_each() -> None:
+    ledger = UsageLedger(5000.0, 10_000.0)
+    ledger.heard("a.1", UsageStatus({200: {"t": 3, "u": 1}}))
+    ledger.heard("a.1", UsageStatus({200: {"t": 5}}))
+    ledger.heard("a.2", UsageStatus({200: {"t": 1}, 201: {"t": 9}}))
+    assert ledger.totals(200) == {"t": 6, "u": 1}
+    ledger.sealed(200)
+    ledger.heard("b.1", UsageStatus({200: {"t": 4}}))
+    assert ledger.totals(200) == {} and ledger.totals(201) == {"t": 9}
+
+
+# Counts in the wrong window on machines whose time of day jumps for some seconds.
+def shows_steps_of_the_time_of_day_are_passed_over_unless_they_last() -> None:
+    clock = Clock()
+    time_of_day = TimeOfDay(lambda: clock.steady, lambda: clock.unix)
+    found = []
+    for passed, step in ((1000.0, 0.0), (1000.0, 2000.0), (5000.0, 0.0), (1000.0, -2000.0), (1000.0, 5.0)):
+        clock.steady += passed
+        clock.unix += passed + step
+        found.append(time_of_day.unix_ms() - 1_000_000.0)
+    assert found == [1000.0, 2000.0, 7000.0, 8000.0, 9005.0], found
+    clock.unix += 2000.0
+    time_of_day.unix_ms()
+    clock.steady += FOLLOW_AFTER_MS
+    clock.unix += FOLLOW_AFTER_MS
+    assert time_of_day.unix_ms() == clock.unix
+
+
+# Who acts
+
+
+def holding(epoch: int = 3, *windows: int) -> Holding:
+    one = Holding("h", "h.1")
+    one.heard(notice(epoch, *windows))
+    return one
+
+
+def notice(
+    epoch: int, *windows: int, holder: str = "h", incarnation: str = "h.1", oldest: int = 0
+) -> DutyNotice:
+    return DutyNotice(DUTY, epoch, holder, incarnation, oldest, {window: {"t": window} for window in windows})
+
+
+def shows_who_may_send() -> None:
+    call = holding(3, 7).next_call()
+    assert call is not None and call.body == b'{"windowNo":7,"serverCounts":{"t":7}}'
+    for heard, lease, leaving, may in (
+        (notice(3), True, False, True),
+        (notice(3), False, False, False),
+        (notice(3), True, True, False),
+        (notice(4), True, False, False),  # the call was of another epoch
+        (notice(4, holder="i"), True, False, False),
+        (notice(4, incarnation="h.2"), True, False, False),
+        (notice(2, holder="i"), True, False, True),  # an old notice that comes late
+    ):
+        one = holding(3, 7)
+        one.heard(heard)
+        assert one.may_send(call, lease, leaving) is may, (heard, lease, leaving)
+
+
+# A call under a token after it was refused; windows out of order, or sent again once they are done.
+def shows_windows_go_in_order_and_nothing_after_a_refusal() -> None:
+    one = holding(3, 9, 7, 8)
+    call = one.next_call()
+    assert call is not None and call.window == 7
+    one.accepted(call)
+    one.heard(notice(3, 7, 10, oldest=9))
+    call = one.next_call()
+    assert call is not None and call.window == 9 and one.report() == DutyReport(3, 7)
+    one.refused(call)
+    one.heard(notice(3, 11))
+    assert one.next_call() is None and one.report() == DutyReport(3, 7, True)
+    assert not one.may_send(call, True, False)
+    one.heard(notice(4, 9, 10, 11))
+    call = one.next_call()
+    assert call is not None and (call.epoch, call.window) == (4, 9) and one.report() == DutyReport(4)
+
+
+class Script:
+    """A platform that answers as it is told, and runs something between look and call."""
+
+    def __init__(self, *outcomes: CallOutcome) -> None:
+        self.outcomes, self.sent, self.timeouts = list(outcomes), [], []
+        self.before_write = lambda: None
+
+    async def post(self, call, timeout_ms, may_send) -> CallOutcome:
+        self.before_write()
+        if not may_send():
+            return CallOutcome(Verdict.NOT_SENT)
+        self.sent.append(call)
+        self.timeouts.append(timeout_ms)
+        return self.outcomes.pop(0) if self.outcomes else CallOutcome(Verdict.ACCEPTED, 200)
+
+
+class Events:
+    def __init__(self) -> None:
+        self.names: list[str] = []
+
+    def event(self, name: str, /, **fields: object) -> None:
+        self.names.append(name)
+
+
+def steps(script: Script, count: int, lease: list[bool]) -> tuple[list[float], Events]:
+    """How long the holder waits after each of its steps."""
+
+    async def scene() -> tuple[list[float], Events]:
+        log = Events()
+        holder = DutyHolder(
+            DUTY, holding(3, 7, 8), script, 50.0, lambda: lease[0], lambda: False, lambda: None, log
+        )
+        return [await holder._step() for _ in range(count)], log
+
+    return asyncio.run(scene())
+
+
+# A holder that was frozen between its look at the lease and its call.
+def shows_the_lease_is_looked_at_as_each_call_is_written() -> None:
+    lease, script = [True], Script()
+    script.before_write = lambda: lease.__setitem__(0, False)
+    waits, log = steps(script, 2, lease)
+    assert not script.sent and log.names == [] and all(wait > 0 for wait in waits)
+
+
+def shows_a_call_that_fails_is_made_again_with_the_same_bytes_and_longer_waits() -> None:
+    script = Script(*[CallOutcome(Verdict.UNCLEAR, status) for status in (0, 503, 429, 0)])
+    waits, log = steps(script, 6, [True])
+    assert len({call.body for call in script.sent[:5]}) == 1 and script.sent[5].window == 8
+    assert all(after == 2 * before for before, after in itertools.pairwise(waits[:4])), waits
+    assert script.timeouts[0] < script.timeouts[1] and script.timeouts[5] == script.timeouts[0]
+    assert log.names == ["usage_failed"] * 4 + ["usage_reported"] * 2
+
+
+def shows_after_a_refusal_nothing_is_sent() -> None:
+    script = Script(CallOutcome(Verdict.REFUSED, 409))
+
+    async def scene() -> None:
+        told: list[bool] = []
+        one = holding(3, 7, 8)
+        holder = DutyHolder(
+            DUTY, one, script, 50.0, lambda: True, lambda: False, lambda: told.append(True), Events()
+        )
+        running = asyncio.ensure_future(holder.run())
+        while one.next_call() is not None:
+            await asyncio.sleep(0)
+        for _ in range(20):
+            holder.heard([notice(3, 9)])
+            await asyncio.sleep(0)
+        running.cancel()
+        assert told == [True] and holder.reports()[DUTY].refused
+
+    asyncio.run(scene())
+    assert len(script.sent) == 1
+
+
+# Settings
+
+
+def shows_bad_settings_of_the_platform_are_refused_with_their_field() -> None:
+    base = "nodeName: a\nbindIp: 10.0.0.1\nzone: z\nportRange: [7300, 7315]\n"
+    assert not parse(base, "s").reports_usage
+    good = parse(base + "cloudApi: {address: '10.0.0.9:80', dutySet: [usage_report]}\n", "s")
+    assert good.reports_usage
+    for line, field in (
+        ("cloudApi: {address: '10.0.0.9'}", "10.0.0.9"),
+        ("cloudApi: {address: '10.0.0.9:80', dutyRateS: 0}", "cloudApi.dutyRateS"),
+        ("cloudApi: {address: '10.0.0.9:80'}\nruleBounds: {usageWindowS: 0}", "ruleBounds.usageWindowS"),
+    ):
+        try:
+            parse(base + line + "\n", "s")
+        except SettingsError as problem:
+            assert field in str(problem), problem
+        else:
+            raise AssertionError(line)
