--- a/sableford/simulation/control/platform.py
+++ b/sableford/simulation/control/platform.py
@@ -5,6 +5,7 @@
     contents   two accepted reports of one window whose counts differ
     token      one token sent by two holders, or two lives of one
     A, B, A    holders that act within `leaseMs` in that order; a refused call breaks nothing
+    late       a call under a token that was followed long ago: its sender's lease is over
     refused    a call under a token that its sender was answered 409 for
     too many   a report with more than was counted
 """
@@ -20,6 +21,7 @@
 from sableford.simulation.control.network import Endpoint, Network
 
 HOST, PORT = "10.200.0.1", 8346
+LATE_MS = 2000.0  # a connection that gets no acknowledgement lasts a little less
 RESENT_MS = 500.0  # after a refusal: what was under way by then had not heard of it
 SLOW_S = 0.5, 4.0
 PLAIN_S = 0.001, 0.04
@@ -41,7 +43,7 @@
         self.counted: dict[int, dict[str, int]] = {}  # what stores counted, told by them as they do
         self.ran: dict[int, dict[str, int]] = {}  # of these, what is not known not to have run
         self._lives: dict[Process, int] = {}
-        self._highest = 0
+        self._highest, self._highest_since = 0, 0.0
         self._senders: dict[int, str] = {}  # by token
         self._refused: dict[tuple[str, int], float] = {}
         self._acts: list[tuple[float, str]] = []  # of those that were not refused: when, and whose
@@ -62,8 +64,11 @@
         if token < self._highest:
             self._refused.setdefault((life, token), now)
             self._judges.count("usage 409")
+            if now - self._highest_since > LATE_MS:
+                self._judges.found("late", f"{life} calls under {token}, followed by {self._highest}")
             return 409
-        self._highest = token
+        if token > self._highest:
+            self._highest, self._highest_since = token, now
         self._act(now, holder)
         report = orjson.loads(body)
         self._report(now, report["windowNo"], report["serverCounts"])
--- a/sableford/simulation/control/walk.py
+++ b/sableford/simulation/control/walk.py
@@ -167,12 +167,12 @@
 
     def _set_up(self) -> None:
         shape, chance = self.shape, self.chance
-        self.faults = Faults(self.cluster, Random(chance.random()), self.judges, shape.exceed, shape.kinds)
-        self.judges.settled = self.faults.settled
         if shape.duties:
             lease_ms = self.judges.bounds.lease_ms
             platform_chance = Random(f"platform {self.seed}")
             self.cluster.platform = Platform(self.cluster.network, platform_chance, lease_ms, self.judges)
+        self.faults = Faults(self.cluster, Random(chance.random()), self.judges, shape.exceed, shape.kinds)
+        self.judges.settled = self.faults.settled
         for at in range(shape.stores):
             self.cluster.add("store", f"zone-{at % 3}")
         for at in range(shape.edges):
--- a/tests/control_mistakes.py
+++ b/tests/control_mistakes.py
@@ -21,13 +21,22 @@
 from sableford.consensus.messages import AppendRequest, AppendResponse
 from sableford.consensus.raft_node import RaftNode
 from sableford.consensus.state_machine import StateMachine
-from sableford.control import configuration_keeper, order_process, orders, roster_manager
+from sableford.control import configuration_keeper, duty_manager, order_process, orders, roster_manager
+from sableford.control.coordinator import Coordinator
+from sableford.control.duty_manager import DutyManager
 from sableford.control.member_client import MemberClient
 from sableford.control.protocol import Update
 from sableford.control.record_driver import ProposalResult, RecordDriver
 from sableford.control.requests import ConfigurationOrder
 from sableford.control.service import ControlService
 from sableford.control.workers import Worker, WorkerTable
+from sableford.duties import state as duty_state
+from sableford.duties.holding import Call, Holding
+from sableford.duties.messages import DutyNotice
+from sableford.duties.state import DutyState
+from sableford.duties.succession import Candidate
+from sableford.duties.usage_ledger import UsageLedger
+from sableford.simulation.control import platform as walk_platform
 from sableford.simulation.control.judges import Finding
 from sableford.simulation.control.walk import ControlSimulation, Shape
 from sableford.transport.frames import Frame
@@ -221,6 +230,81 @@
     return request
 
 
+# Duties
+
+
+def stores_told_before_agreed(original: Callable) -> Callable:
+    """Of holders and of windows."""
+
+    async def propose(self: DutyManager, wanted: DutyState) -> None:
+        before, self.state = self.state, wanted
+        self._tell(before)
+        self.state = before
+        await original(self, wanted)
+
+    return propose
+
+
+def members_known_without_majority(original: Callable) -> Callable:
+    return lambda self, now: self.leads
+
+
+def epoch_not_raised(original: Callable) -> Callable:
+    return lambda state, *given: replace(original(state, *given), epoch=max(state.epoch, 1))
+
+
+def epoch_from_memory(original: Callable) -> Callable:
+    """A leader counts epochs itself, and begins anew when it begins to lead."""
+
+    def become_leader(self: DutyManager) -> None:
+        original(self)
+        self.state = replace(self.state, epoch=min(self.state.epoch, 1))
+
+    return become_leader
+
+
+def handed_back(original: Callable) -> Callable:
+    def next_holder(duty: str, state: DutyState, there: dict, barred: set) -> Candidate | None:
+        before = [one for one in there.values() if state.previous[-1:] == (one.node,) and one.able]
+        return before[0] if before else original(duty, state, there, set())
+
+    return next_holder
+
+
+def lease_looked_at_once(original: Callable) -> Callable:
+    """As the first call under an epoch is made."""
+
+    def may_send(self: Holding, call: Call, holds_lease: bool, leaving: bool) -> bool:
+        looked_at = getattr(self, "looked_at", 0)
+        if call.epoch > looked_at and original(self, call, holds_lease, leaving):
+            self.looked_at = call.epoch
+        return getattr(self, "looked_at", 0) == call.epoch and self.is_named()
+
+    return may_send
+
+
+def never_late(original: float) -> float:
+    return 1e9
+
+
+def refusal_passed_over(original: Callable) -> Callable:
+    return lambda self, call: None
+
+
+def windows_of_memory(original: Callable) -> Callable:
+    """What is sent is what the leader has counted by then, and not what is sealed."""
+
+    def notice(self: DutyManager, sealed: dict) -> DutyNotice:
+        counted = {window: self._ledger.totals(window) or counts for window, counts in sealed.items()}
+        return original(self, counted)
+
+    return notice
+
+
+def windows_not_forgotten(original: Callable) -> Callable:
+    return lambda self, until: None
+
+
 class Mistake(NamedTuple):
     """A patch of one function, the judges who must find it, and a shape of walk in which they can."""
 
@@ -242,6 +326,15 @@
 FROZEN = Shape(seconds=15.0, operators=4, pace_ms=200.0, kinds=CUTS)
 LEAVING = Shape(seconds=20.0, workers=8, kinds=CUTS)
 
+DUTIES = Shape(
+    stores=4,
+    seconds=25.0,
+    operators=1,
+    duties=True,
+    kinds=("kill_holder", "freeze_holder", "platform", "terminate", "cut", "cut_some", "kill"),
+)
+HOLDERS = DUTIES._replace(kinds=("kill_holder", "terminate", "freeze_holder"), stores=5, losses=2)
+
 LOST = {"stale read", "two on one base", "old base", "closing read", "not caught up", "unknown configuration"}
 STUCK = {"not acknowledged", "drain not acknowledged", "no leader", "closing read", "not caught up"}
 REPEATS = {"repeat refused", "refused in force", "refused"}
@@ -305,6 +398,40 @@
         PendingCalls, "resolve", next_answer_taken, {"wrong answer", "unforeseen"}
     ),
     "a call is sent again after silence": Mistake(Link, "request", asked_again_after_silence, {"sent twice"}),
+    "a holder is told before a majority has agreed": Mistake(
+        DutyManager,
+        "_propose",
+        stores_told_before_agreed,
+        {"token", "contents", "late", "too many"},
+        DUTIES,
+        also=((Coordinator, "knows_members", members_known_without_majority), STEPS_DOWN),
+    ),
+    "counts are sent that are not sealed": Mistake(
+        DutyManager,
+        "_notice",
+        windows_of_memory,
+        {"contents"},
+        DUTIES,
+        also=((UsageLedger, "sealed", windows_not_forgotten),),
+    ),
+    "an epoch is used again": Mistake(duty_state, "with_holder", epoch_not_raised, {"token"}, HOLDERS),
+    "epochs begin anew with a leader": Mistake(
+        DutyManager, "become_leader", epoch_from_memory, {"token", "late", "missing", "off"}, DUTIES
+    ),
+    "a duty goes back to the one before": Mistake(
+        duty_manager, "next_holder", handed_back, {"A, B, A"}, HOLDERS
+    ),
+    "the lease is looked at once before several calls": Mistake(
+        Holding, "may_send", lease_looked_at_once, {"late"}, HOLDERS
+    ),
+    "a refused holder goes on": Mistake(
+        Holding,
+        "refused",
+        refusal_passed_over,
+        {"refused"},
+        HOLDERS,
+        also=((Holding, "may_send", lease_looked_at_once), (walk_platform, "LATE_MS", never_late)),
+    ),
 }
 
 
