Keep connections to workers by address too, so that none outlives a service's move

Seen in tests only: no deployment that we know of moves an endpoint.

Cause: connections were kept by the worker's id; a service at one address keeps its id when it moves, and a delivery to it names no instance that would turn it away.

Change: they are kept by id, host and port.

--- a/sableford/store/delivery.py
+++ b/sableford/store/delivery.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from sableford.store.choice import WorkerEntry
 from sableford.store.messages import Message
@@ -65,12 +66,25 @@
     return Verdict(Execution.UNKNOWN, f"answered {response.status}")
 
 
+class Destination(NamedTuple):
+    """Where connections lead. A service at one address keeps its id when it moves to another."""
+
+    id: str
+    host: str
+    port: int
+
+    @classmethod
+    def of(cls, entry: WorkerEntry) -> "Destination":
+        """Of a listed worker or a service at one address."""
+        return cls(entry.id, entry.host, entry.port)
+
+
 class DeliveryClient:
     """The connections to workers; the least recently used ends where a worker takes no more."""
 
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._idle: dict[str, list[ClientConnection]] = {}
+        self._idle: dict[Destination, list[ClientConnection]] = {}
         self.dials = self.deliveries = 0
 
     async def deliver(
@@ -84,7 +98,8 @@
         """One attempt, at most one request. `until_ms`: by the loop's clock. `may_send` is asked just before
         the request is written: the right to send may have ended while the worker was dialled."""
         self.deliveries += 1
-        connection = self._idle_connection(entry.id)
+        destination = Destination.of(entry)
+        connection = self._idle_connection(destination)
         if connection is None:
             try:
                 connection = await self._dial(entry)
@@ -92,10 +107,10 @@
                 return Verdict(Execution.NOT_RUN, f"no connection: {type(problem).__name__}", reached=False)
         left = until_ms - self._loop.time() * 1000.0
         if left < MIN_DEADLINE_MS:
-            self._keep(entry.id, connection)
+            self._keep(destination, connection)
             return Verdict(Execution.NOT_RUN, "no time was left to send it in")
         if not may_send():
-            self._keep(entry.id, connection)
+            self._keep(destination, connection)
             return Verdict(Execution.NOT_RUN, "not this store's to send any more")
         return await self._exchange(connection, message, body, entry, left)
 
@@ -131,14 +146,14 @@
         if connection.closed or not is_response_to(response, id):
             connection.drop()
         else:
-            self._keep(entry.id, connection)
+            self._keep(Destination.of(entry), connection)
         return verdict_of(response, id)
 
-    def _keep(self, worker: str, connection: ClientConnection) -> None:
-        self._idle.setdefault(worker, []).append(connection)
+    def _keep(self, destination: Destination, connection: ClientConnection) -> None:
+        self._idle.setdefault(destination, []).append(connection)
 
-    def _idle_connection(self, worker: str) -> ClientConnection | None:
-        idle = self._idle.get(worker)
+    def _idle_connection(self, destination: Destination) -> ClientConnection | None:
+        idle = self._idle.get(destination)
         while idle:
             connection = idle.pop()
             if connection.usable():
@@ -148,12 +163,12 @@
 
     def sweep(self, workers: set[str]) -> None:
         """Connections to those that are gone, and those that rested too long."""
-        for worker, idle in list(self._idle.items()):
-            keep = [one for one in idle if worker in workers and one.usable()]
+        for destination, idle in list(self._idle.items()):
+            keep = [one for one in idle if destination.id in workers and one.usable()]
             for one in idle:
                 if one not in keep:
                     one.drop()
             if keep:
-                self._idle[worker] = keep
+                self._idle[destination] = keep
             else:
-                del self._idle[worker]
+                del self._idle[destination]
