--- a/sableford/common/settings.py
+++ b/sableford/common/settings.py
@@ -47,6 +47,7 @@
     drain_ms: float = 3000
     grace_s: float = 6
     apply_ms: float = 3000
+    revoke_ms: float | None = None
     recovery_s: float = 12
     done_s: float = 10
     status_ttl_s: float = 120
@@ -69,6 +70,12 @@
     rate_per_s: float = 50.0
     duty_rate_s: float = 50.0
 
+    @property
+    def configuration_ms(self) -> float:
+        """How long after the acknowledgement of a version a member may still act on an older one, keys
+        included."""
+        return self.apply_ms if self.revoke_ms is None else min(self.apply_ms, self.revoke_ms)
+
 
 class Settings(msgspec.Struct, rename="camel"):
     node_name: str
--- a/sableford/store/server.py
+++ b/sableford/store/server.py
@@ -255,6 +255,7 @@
     def _configuration_changed(self, config: ConfigurationVersion) -> None:
         table = Table(config.revision, config.document)
         self.executor.carry_out(self.queue.configure(self.runtime.now(), table))
+        self.log.event("config", revision=table.revision)
 
     def _worker_changed(self, id: str | None) -> None:
         """One of the workers, or any of them."""
@@ -273,8 +274,8 @@
 
     def _lease_extended(self, until: float) -> None:
         """An old configuration ends it sooner where the rule's bound is shorter than a lease."""
-        apply_ms = self.runtime.settings.rule_bounds.apply_ms
-        self.queue.state.lease = min(until, configuration_until(until, apply_ms))
+        bound_ms = self.runtime.settings.rule_bounds.configuration_ms
+        self.queue.state.lease = min(until, configuration_until(until, bound_ms))
 
     # The end
 
