--- a/sableford/store/effect_executor.py
+++ b/sableford/store/effect_executor.py
@@ -287,7 +287,7 @@
         if body is None:
             return Verdict(Execution.NOT_RUN, "its bytes can't be read")
         message.body = body
-        counted = _CountedDelivery(self._usage, getattr(message.header, "tenant", ""))
+        counted = _CountedDelivery(self._usage, message.header.tenant)
         verdict = await self.delivery_client.deliver(
             message, body, worker.entry, effect.until, lambda: self.may_send(effect), counted.began
         )
