--- a/sableford/common/settings.py
+++ b/sableford/common/settings.py
@@ -61,6 +61,12 @@
     usage_error: float = 0.05
     usage_late_s: float = 10
 
+    @property
+    def configuration_ms(self) -> float:
+        """How long after the acknowledgement of a version a member may still act on an older one, keys
+        included."""
+        return self.apply_ms if self.revoke_ms is None else min(self.apply_ms, self.revoke_ms)
+
 
 class CloudApi(msgspec.Struct, rename="camel"):
     """The platform, for which some calls are made by one store at a time (`docs/duties.md`)."""
@@ -70,12 +76,6 @@
     rate_per_s: float = 50.0
     duty_rate_s: float = 50.0
 
-    @property
-    def configuration_ms(self) -> float:
-        """How long after the acknowledgement of a version a member may still act on an older one, keys
-        included."""
-        return self.apply_ms if self.revoke_ms is None else min(self.apply_ms, self.revoke_ms)
-
 
 class Settings(msgspec.Struct, rename="camel"):
     node_name: str
