--- a/sableford/store/server.py
+++ b/sableford/store/server.py
@@ -21,6 +21,7 @@
 from sableford.node.runtime import Runtime, StoreStatus
 from sableford.store.choice import Choice, WorkerEntry
 from sableford.store.departure import may_end
+from sableford.store.duties import StoreDuties
 from sableford.store.effect_executor import EffectExecutor
 from sableford.store.message_storage import BodyReader, Clocks, MessageStorage
 from sableford.store.peer_requests import PeerRequests
@@ -60,6 +61,7 @@
         self._http_bounds = Bounds()
         self._http_bounds.body = MAX_CONTROL_BODY_BYTES
         self._http_server = HttpServer(self.control.handle, self._http_bounds)
+        self._duties = StoreDuties(runtime, self.member) if settings.reports_usage else None
         self._written_zones: dict[str, str] = {}  # on the own disk
         self._status_at = 0.0  # when the status was worked out last
 
@@ -75,6 +77,8 @@
         self.member.on_lease.append(self._lease_extended)
         self.member.on_joined.append(self.control.joined_leader)
         self.links.on_up.append(self._link_up)
+        if self._duties is not None:
+            self._duties.start()
         await runtime.listen()
         self.control.start(self._record_storage)
         if settings.bind_addrs.control_rpc:
@@ -101,7 +105,15 @@
         bodies = BodyReader(storage, self.log)
         runtime = self.runtime
         self.executor = EffectExecutor(
-            self.queue, storage, bodies, self.choice, self.links, self.log, runtime.now, runtime.spawn
+            self.queue,
+            storage,
+            bodies,
+            self.choice,
+            self.links,
+            self.log,
+            runtime.now,
+            runtime.spawn,
+            self._duties.usage if self._duties is not None else None,
         )
         self.peer_requests = PeerRequests(
             self.queue, self.executor, storage, bodies, self.choice, runtime.now, runtime.spawn
