Soak of the whole system in real processes, drawn from a seed

Cause: nothing played signals, restarts, settings and changes of configuration that overlap on real processes while clients go on using their connections.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -25,8 +25,10 @@
     "notation",
     "socket_scenes",
     "socket_stubs",
+    "loopback",
     "memory_network",
     "runner",
+    "soaking",
     "slow",
 }  # what tests use or start
 MODULES = [
@@ -35,7 +37,7 @@
     if found.name not in NO_TESTS
 ]
 # With processes, threads or sockets of their own.
-ALONE = {f"tests.{name}" for name in ("command", "example", "handover", "joined", "rig", "upgrade")}
+ALONE = {f"tests.{name}" for name in ("command", "example", "handover", "joined", "rig", "soak", "upgrade")}
 
 
 def doctested(module) -> None:
--- /dev/null
+++ b/tests/soaking/clients.py
@@ -0,0 +1,152 @@
+"""Clients that go on using their connections until those are gone, whatever becomes of the process."""
+
+import asyncio
+from random import Random
+
+from tests.soaking.configurations import HOSTNAME, is_fifo, is_public, path_prefix
+from tests.soaking.connection import Connection, EndedError, request_bytes
+from tests.soaking.fleet import PUBLIC, Fleet, Node
+from tests.soaking.plan import ROUTES, TENANTS
+from tests.soaking.record import Life, Record, Sent, now
+from tests.soaking.workers import POISON
+
+HUNG_S = 30.0  # for an answer; far beyond any bound of the system
+PAUSE_S = (0.01, 0.25)
+REFUSED_PAUSE_S = 0.05
+ORDER_KEYS = 5
+LARGEST_BODY = 5000
+SHARE_OF_POISON, SHARE_OF_STRANGERS, SHARE_OF_DELAYED = 0.05, 0.05, 0.2
+CONNECTIONS_KEPT_SHARE = 0.97  # a client leaves its connection by itself now and then
+
+
+class Client:
+    def __init__(self, crowd: "Crowd", number: int) -> None:
+        self.crowd, self.number, self.count = crowd, number, 0
+        self.random = Random(f"client {crowd.seed} {number}")
+        self._connection: Connection | None = None
+        self._node: Node | None = None
+        self._life: Life | None = None
+
+    async def run(self) -> None:
+        while self.crowd.is_going:
+            if self._connection is None:
+                await self._connect()
+                continue
+            await self._exchange(self.draw())
+            await asyncio.sleep(self.random.uniform(*PAUSE_S))
+        self._leave()
+
+    async def _connect(self) -> None:
+        node = self.random.choice(self.crowd.fleet.edges)
+        life = node.life
+        try:
+            async with asyncio.timeout(HUNG_S):
+                self._connection = await Connection.open(node.host, PUBLIC)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            return
+        if node.life is not life:  # either life may have taken it
+            self._leave()
+            return
+        self._node, self._life = node, life
+
+    def draw(self) -> Sent:
+        """The next message."""
+        random, node = self.random, self._node
+        assert node is not None
+        self.count += 1
+        number = random.randrange(ROUTES)
+        kind = random.choice(POISON) if random.random() < SHARE_OF_POISON else "plain"
+        order_key = f"k{random.randrange(ORDER_KEYS)}" if is_fifo(number) else ""
+        delayed = not order_key and random.random() < SHARE_OF_DELAYED
+        return Sent(
+            id=f"m{self.number}.{kind}.{self.count}",
+            edge=node.name,
+            method="POST",
+            path=f"{path_prefix(number)}{random.randrange(100)}?q={self.count}",
+            body=random.randbytes(random.randrange(LARGEST_BODY) if random.random() < 0.3 else 40),
+            key=self._key(number),
+            order_key=order_key,
+            delay_ms=random.randrange(100, 1500) if delayed else 0.0,
+            sent_at=0.0,
+        )
+
+    def _key(self, route: int) -> str:
+        """Of any configuration so far, in force or not; at times one that nobody ever held, or none."""
+        random = self.random
+        if random.random() < SHARE_OF_STRANGERS:
+            return random.choice(("", f"tenant-{random.randrange(TENANTS)}.never"))
+        if is_public(route) and random.random() < 0.5:
+            return ""
+        version = random.choice(self.crowd.record.versions[-4:])
+        keys = [key for one in version.document["tenants"] for key in one["apiKeys"]]
+        return random.choice(keys) if keys else ""
+
+    async def _exchange(self, sent: Sent) -> None:
+        connection = self._connection
+        assert connection is not None
+        fields = {"Host": HOSTNAME, "Attempt-Id": sent.id}
+        if sent.key:
+            fields["Authorization"] = f"Token {sent.key}"
+        if sent.order_key:
+            fields["Order-Key"] = sent.order_key
+        if sent.delay_ms:
+            fields["Delay-Ms"] = str(int(sent.delay_ms))
+        sent.sent_at = now()
+        self.crowd.record.sent[sent.id] = sent
+        try:
+            async with asyncio.timeout(HUNG_S):
+                answer = await connection.ask(request_bytes("POST", sent.path, fields, sent.body))
+        except EndedError as problem:
+            self._ended(sent, problem)
+            self._leave()
+            return
+        except TimeoutError:
+            self.crowd.record.problem(f"{sent.id} at {sent.edge}: no answer and no end in {HUNG_S:.0f} s")
+            self._leave()
+            return
+        sent.answered_at, sent.status = answer.answered_at, answer.status
+        sent.ref = answer.fields.get("message-ref", sent.id)
+        if answer.closes or self.random.random() > CONNECTIONS_KEPT_SHARE:
+            await self._read_to_the_end(sent, answer.closes)
+
+    def _ended(self, sent: Sent, problem: EndedError) -> None:
+        """A request that was read is answered whole, unless its process was killed."""
+        sent.answered_at = now()
+        life, record = self._life, self.crowd.record
+        record.event(f"{sent.id} at {sent.edge}: {problem}")
+        was_killed = life is None or life.got("KILL", "STOP")
+        if problem.part and not was_killed:
+            record.problem(f"MIXED {sent.id} at {sent.edge}: a part of an answer: {problem.part[:80]!r}")
+        if problem.was_read and not was_killed:
+            record.problem(
+                f"LOST {sent.id} at {sent.edge}: its request was read, and then the connection ended"
+            )
+
+    async def _read_to_the_end(self, sent: Sent, closes: bool) -> None:
+        """Behind an answer that ends the connection comes nothing but its end."""
+        if closes and self._connection is not None:
+            try:
+                async with asyncio.timeout(HUNG_S):
+                    rest = await self._connection.rest()
+            except TimeoutError:
+                self.crowd.record.problem(f"{sent.id} at {sent.edge}: no end behind Connection: close")
+                rest = b""
+            if rest:
+                self.crowd.record.problem(f"MIXED {sent.id} at {sent.edge}: behind its answer: {rest[:80]!r}")
+        self._leave()
+
+    def _leave(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+
+
+class Crowd:
+    def __init__(self, fleet: Fleet, record: Record, seed: int, clients: int) -> None:
+        self.fleet, self.record, self.seed = fleet, record, seed
+        self.is_going = True
+        self.clients = [Client(self, number) for number in range(clients)]
+
+    async def run(self) -> None:
+        await asyncio.gather(*(client.run() for client in self.clients))
--- /dev/null
+++ b/tests/soaking/configurations.py
@@ -0,0 +1,212 @@
+"""Configurations as the operator sends them, and what each allows a request."""
+
+import importlib.util
+from copy import deepcopy
+from dataclasses import dataclass
+from random import Random
+
+from tests.soaking.plan import ROUTES, SERVICES, TENANTS
+
+HOSTNAME = "soak.example"
+DEADLINE_MS, MAX_TRIES = 1500, 3
+KEYS_EACH = 2
+LASTING = {"route-0", "route-1", "route-2", "route-3"}  # never dropped: what they accept must be run
+HAS_TENANTS = importlib.util.find_spec("sableford.edge.authentication") is not None
+
+
+def path_prefix(number: int) -> str:
+    return f"/r{number}/"
+
+
+def is_fifo(number: int) -> bool:
+    return number % 2 == 1
+
+
+def is_public(number: int) -> bool:
+    return number == 0
+
+
+def route(number: int, service: str) -> dict:
+    return {
+        "name": f"route-{number}",
+        "hostname": HOSTNAME,
+        "pathPrefix": path_prefix(number),
+        "variant": "deferred",
+        "backend": service,
+        "deadlineMs": DEADLINE_MS,
+        "targetMs": 100,
+        "startTargetMs": 1200,
+        "rank": number % 3,
+        "maxTries": MAX_TRIES,
+        "fifo": is_fifo(number),
+        "retentionS": 600,
+        "notify": False,
+        "public": is_public(number),
+    }
+
+
+def tenant(number: int, keys: list[str]) -> dict:
+    return {"name": f"tenant-{number}", "apiKeys": keys}
+
+
+def tenant_of_key(key: str) -> str:
+    """Whose it is, was or will be: a key says so itself, and never changes hands."""
+    return key.partition(".")[0]
+
+
+def first(random: Random) -> dict:
+    return {
+        "revision": 1,
+        "routes": [route(number, random.choice(SERVICES)) for number in range(ROUTES)],
+        "backends": [
+            {"name": name, "healthPath": "/health", "maxConns": 200, "protocol": "h1", "tlsMode": False}
+            | {"ratePerS": 0.0, "idempotent": False, "pulled": False, "endpoint": None}
+            for name in SERVICES
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            tenant(number, [f"tenant-{number}.key-{at}" for at in range(KEYS_EACH)])
+            for number in range(TENANTS)
+        ],
+    }
+
+
+@dataclass
+class Change:
+    """A next configuration, and the call that asks for it."""
+
+    kind: str
+    document: dict
+    amendment: dict | None  # None: the document replaces the one before
+
+
+class Drawer:
+    """Draws changes from a seed."""
+
+    def __init__(self, random: Random) -> None:
+        self.random, self._keys = random, 0
+
+    def change(self, base: dict) -> Change:
+        kinds = (
+            "add route",
+            "drop route",
+            "move route",
+            "add key",
+            "revoke key",
+            "drop tenant",
+            "new tenant",
+        )
+        kind = self.random.choice(kinds)
+        new = deepcopy(base)
+        new["revision"] = base["revision"] + self.random.randint(1, 5)
+        part, names = self._apply(kind, new)
+        if self.random.random() < 0.5:
+            return Change(kind, new, None)
+        left = {item["name"] for item in new[part]}
+        gone = [item["name"] for item in base[part] if item["name"] not in left]
+        items = [item for item in new[part] if item["name"] in names]
+        amendment = {"revision": new["revision"], "upsert": {part: items}, "remove": {part: gone}}
+        return Change(kind, new, amendment)
+
+    def _apply(self, kind: str, new: dict) -> tuple[str, set[str]]:
+        """The part that changed, and the names of what it changed and kept."""
+        random, routes, tenants = self.random, new["routes"], new["tenants"]
+        missing = [n for n in range(ROUTES) if f"route-{n}" not in {one["name"] for one in routes}]
+        if kind == "add route" and missing:
+            routes.append(route(random.choice(missing), random.choice(SERVICES)))
+            return "routes", {routes[-1]["name"]}
+        passing = [one for one in routes if one["name"] not in LASTING]
+        if kind == "drop route" and passing:
+            routes.remove(random.choice(passing))
+            return "routes", set()
+        if kind == "drop tenant" and len(tenants) > 1:
+            tenants.pop(random.randrange(len(tenants)))
+            return "tenants", set()
+        if kind == "new tenant" and len(tenants) < TENANTS:
+            names = {one["name"] for one in tenants}
+            number = random.choice([n for n in range(TENANTS) if f"tenant-{n}" not in names])
+            tenants.append(tenant(number, [self._new_key(number)]))
+            return "tenants", {tenants[-1]["name"]}
+        if kind in ("add key", "revoke key") and tenants:
+            one = random.choice(tenants)
+            number = int(one["name"].rpartition("-")[2])
+            if kind == "add key" or not one["apiKeys"]:
+                one["apiKeys"].append(self._new_key(number))
+            else:
+                one["apiKeys"].pop(random.randrange(len(one["apiKeys"])))
+            return "tenants", {one["name"]}
+        moved = random.choice(routes)
+        moved["backend"] = random.choice(SERVICES)
+        return "routes", {moved["name"]}
+
+    def _new_key(self, number: int) -> str:
+        self._keys += 1
+        return f"tenant-{number}.later-{self._keys}"
+
+    def invalid(self, base: dict) -> dict:
+        """What must not be acknowledged."""
+        new = deepcopy(base)
+        new["revision"] = base["revision"] + 1
+        kinds = ["unknown service", "same place", "no deadline", "old revision"]
+        if HAS_TENANTS and len(new["tenants"]) > 1 and new["tenants"][0]["apiKeys"]:
+            kinds.append("shared key")
+        kind = self.random.choice(kinds)
+        if kind == "unknown service":
+            new["routes"][0]["backend"] = "nobody"
+        elif kind == "same place":
+            new["routes"].append(new["routes"][0] | {"name": "other"})
+        elif kind == "no deadline":
+            new["routes"][0]["deadlineMs"] = 0
+        elif kind == "old revision":
+            new["revision"] = base["revision"]
+            new["limits"] = new["limits"] | {"idleTimeoutMs": 14_000}
+        else:
+            new["tenants"][1]["apiKeys"].append(new["tenants"][0]["apiKeys"][0])
+        return new
+
+
+def final(base: dict) -> dict:
+    """Every tenant has a key again, so that all states can be asked for."""
+    new = deepcopy(base)
+    new["revision"] = base["revision"] + 1
+    names = {one["name"] for one in new["tenants"]}
+    for number in range(TENANTS):
+        if f"tenant-{number}" not in names:
+            new["tenants"].append(tenant(number, []))
+    for one in new["tenants"]:
+        one["apiKeys"].append(f"{one['name']}.final")
+    return new
+
+
+# What a configuration allows
+
+
+def route_of(document: dict, path: str) -> dict | None:
+    return next((one for one in document["routes"] if path.startswith(one["pathPrefix"])), None)
+
+
+def has_key(document: dict, key: str) -> bool:
+    return bool(key) and any(key in one["apiKeys"] for one in document["tenants"])
+
+
+def expected(document: dict, path: str, key: str) -> tuple[int, str]:
+    """The status of the edge's own answer to a message, 202 where it may be taken; and its tenant."""
+    found = route_of(document, path)
+    if found is None:
+        return 404, ""
+    if not HAS_TENANTS:
+        return 202, ""
+    if has_key(document, key):
+        return 202, tenant_of_key(key)
+    return (202, "") if found["public"] else (401, "")
+
+
+def in_order(document: dict) -> dict:
+    """For comparing: the order of named items says nothing."""
+    parts = ("routes", "backends", "tenants")
+    return document | {part: sorted(document[part], key=lambda one: one["name"]) for part in parts}
--- a/tests/socket_stubs.py
+++ b/tests/socket_stubs.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import json
-import os
 import re
 import resource
 import socket
@@ -16,6 +15,7 @@
 from zlib import crc32
 
 from sableford.intake.door import MARK
+from tests.loopback import network
 from tests.notation import options
 
 
@@ -56,8 +56,7 @@
     def host(number: int) -> str:
         """A loopback address of this process's own: a port that was free there stays free, however many runs
         go on beside this one."""
-        process = os.getpid()
-        return f"127.{64 + process // 200 % 190}.{1 + process % 200}.{250 + number}"
+        return f"{network()}.{250 + number}"
 
     def write(self, line: bytes) -> None:
         said = json.loads(line)
