Soak: clients send some requests in two halves

Cause: an end of an edge met only requests that came at once. Change: a tenth of the requests comes in two halves up to 1.5 s apart; 408 is among the answers that may come.

--- a/tests/soaking/clients.py
+++ b/tests/soaking/clients.py
@@ -15,6 +15,7 @@
 REFUSED_PAUSE_S = 0.05
 ORDER_KEYS = 5
 LARGEST_BODY = 5000
+SHARE_OF_HALVES, HALVES_S = 0.1, (0.01, 1.5)
 SHARE_OF_POISON, SHARE_OF_STRANGERS, SHARE_OF_DELAYED = 0.05, 0.05, 0.2
 CONNECTIONS_KEPT_SHARE = 0.97  # a client leaves its connection by itself now and then
 
@@ -96,7 +97,8 @@
         self.crowd.record.sent[sent.id] = sent
         try:
             async with asyncio.timeout(HUNG_S):
-                answer = await connection.ask(request_bytes("POST", sent.path, fields, sent.body))
+                request = request_bytes("POST", sent.path, fields, sent.body)
+                answer = await connection.ask(request, self._pause())
         except EndedError as problem:
             self._ended(sent, problem)
             self._leave()
@@ -110,6 +112,10 @@
         if answer.closes or self.random.random() > CONNECTIONS_KEPT_SHARE:
             await self._read_to_the_end(sent, answer.closes)
 
+    def _pause(self) -> float:
+        """Some requests come in two halves."""
+        return self.random.uniform(*HALVES_S) if self.random.random() < SHARE_OF_HALVES else 0.0
+
     def _ended(self, sent: Sent, problem: EndedError) -> None:
         """A request that was read is answered whole, unless its process was killed."""
         sent.answered_at = now()
--- a/tests/soaking/connection.py
+++ b/tests/soaking/connection.py
@@ -44,10 +44,15 @@
     async def open(cls, host: str, port: int) -> "Connection":
         return cls(*await asyncio.open_connection(host, port))
 
-    async def ask(self, request: bytes) -> Response:
-        """Raises EndedError."""
+    async def ask(self, request: bytes, pause_s: float = 0.0) -> Response:
+        """`pause_s`: between the two halves in which it is sent; 0 sends it at once. Raises EndedError."""
         part = b""
         try:
+            if pause_s:
+                half = len(request) // 2
+                self._writer.write(request[:half])
+                await asyncio.sleep(pause_s)
+                request = request[half:]
             self._writer.write(request)
             part = await self._reader.readuntil(b"\r\n\r\n")
             return await self._response(part)
--- a/tests/soaking/judge.py
+++ b/tests/soaking/judge.py
@@ -12,7 +12,7 @@
 NOT_BEFORE_S = BOUNDS["notBeforeMs"] / 1000.0
 NEVER_RUN = (400, 401, 404, 408, 421, 429, 503)
 OWN_ANSWERS = (404, 401, 202)  # that follow from the configuration alone
-LIKELY = (202, 401, 404, 429, 503, 504, 0)
+LIKELY = (202, 401, 404, 408, 429, 503, 504, 0)
 ENDED_BY = {0: ("TERM",), -15: ("TERM",), -9: ("KILL",)}
 
 
