--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -37,7 +37,10 @@
     if found.name not in NO_TESTS
 ]
 # With processes, threads or sockets of their own.
-ALONE = {f"tests.{name}" for name in ("command", "example", "handover", "joined", "rig", "soak", "upgrade")}
+ALONE = {
+    f"tests.{name}"
+    for name in ("command", "example", "handover", "joined", "node_start", "rig", "soak", "upgrade")
+}
 
 
 def doctested(module) -> None:
