Soak: states asked for on open connections, services and time-outs changed

Change: clients ask for states of their latest messages, held against what had ended by then; the operator changes services and deadlines; files are torn only once their process has read them.

--- a/tests/soaking/clients.py
+++ b/tests/soaking/clients.py
@@ -1,13 +1,14 @@
 """Clients that go on using their connections until those are gone, whatever becomes of the process."""
 
 import asyncio
+import json
 from random import Random
 
 from tests.soaking.configurations import HOSTNAME, is_fifo, is_public, path_prefix
-from tests.soaking.connection import Connection, EndedError, request_bytes
+from tests.soaking.connection import Connection, EndedError, Response, request_bytes
 from tests.soaking.fleet import PUBLIC, Fleet, Node
 from tests.soaking.plan import ROUTES, TENANTS
-from tests.soaking.record import Life, Record, Sent, now
+from tests.soaking.record import Asked, Life, Record, Sent, now
 from tests.soaking.workers import POISON
 
 HUNG_S = 30.0  # for an answer; far beyond any bound of the system
@@ -15,6 +16,7 @@
 REFUSED_PAUSE_S = 0.05
 ORDER_KEYS = 5
 LARGEST_BODY = 5000
+SHARE_OF_ASKED, LATELY = 0.15, 8
 SHARE_OF_HALVES, HALVES_S = 0.1, (0.01, 1.5)
 SHARE_OF_POISON, SHARE_OF_STRANGERS, SHARE_OF_DELAYED = 0.05, 0.05, 0.2
 CONNECTIONS_KEPT_SHARE = 0.97  # a client leaves its connection by itself now and then
@@ -27,13 +29,17 @@
         self._connection: Connection | None = None
         self._node: Node | None = None
         self._life: Life | None = None
+        self._taken: list[Sent] = []  # its accepted messages
 
     async def run(self) -> None:
         while self.crowd.is_going:
             if self._connection is None:
                 await self._connect()
                 continue
-            await self._exchange(self.draw())
+            if self._taken and self.random.random() < SHARE_OF_ASKED:
+                await self._ask_for_state(self.random.choice(self._taken[-LATELY:]))
+            else:
+                await self._exchange(self.draw())
             await asyncio.sleep(self.random.uniform(*PAUSE_S))
         self._leave()
 
@@ -84,8 +90,6 @@
         return random.choice(keys) if keys else ""
 
     async def _exchange(self, sent: Sent) -> None:
-        connection = self._connection
-        assert connection is not None
         fields = {"Host": HOSTNAME, "Attempt-Id": sent.id}
         if sent.key:
             fields["Authorization"] = f"Token {sent.key}"
@@ -95,51 +99,73 @@
             fields["Delay-Ms"] = str(int(sent.delay_ms))
         sent.sent_at = now()
         self.crowd.record.sent[sent.id] = sent
-        try:
-            async with asyncio.timeout(HUNG_S):
-                request = request_bytes("POST", sent.path, fields, sent.body)
-                answer = await connection.ask(request, self._pause())
-        except EndedError as problem:
-            self._ended(sent, problem)
-            self._leave()
-            return
-        except TimeoutError:
-            self.crowd.record.problem(f"{sent.id} at {sent.edge}: no answer and no end in {HUNG_S:.0f} s")
-            self._leave()
+        answer = await self._answer_to(sent.id, request_bytes("POST", sent.path, fields, sent.body))
+        sent.answered_at = now()
+        if answer is None:
             return
         sent.answered_at, sent.status = answer.answered_at, answer.status
         sent.ref = answer.fields.get("message-ref", sent.id)
+        if sent.accepted:
+            self._taken.append(sent)
         if answer.closes or self.random.random() > CONNECTIONS_KEPT_SHARE:
-            await self._read_to_the_end(sent, answer.closes)
+            await self._read_to_the_end(sent.id, answer.closes)
+
+    async def _ask_for_state(self, sent: Sent) -> None:
+        """What became of an earlier message, on the same connection, with the key that it was sent with."""
+        fields = {"Host": HOSTNAME}
+        if sent.key:
+            fields["Authorization"] = f"Token {sent.key}"
+        asked = Asked(sent.id, now())
+        answer = await self._answer_to(sent.id, request_bytes("GET", f"/v1/message/{sent.ref}", fields))
+        if answer is None:
+            return
+        asked.status, asked.answered_at = answer.status, answer.answered_at
+        if answer.status == 200:
+            state = json.loads(answer.body)
+            asked.phase, asked.seal = state["phase"], state.get("seal", "")
+        self.crowd.record.asked.append(asked)
+        if answer.closes:
+            await self._read_to_the_end(sent.id, True)
+
+    async def _answer_to(self, id: str, request: bytes) -> Response | None:
+        """None where there was none; the connection is left then."""
+        assert self._connection is not None and self._node is not None
+        try:
+            async with asyncio.timeout(HUNG_S):
+                return await self._connection.ask(request, self._pause())
+        except EndedError as problem:
+            self._ended(f"{id} at {self._node.name}", problem)
+        except TimeoutError:
+            text = f"{id} at {self._node.name}: no answer and no end in {HUNG_S:.0f} s"
+            self.crowd.record.problem(text)
+        self._leave()
+        return None
 
     def _pause(self) -> float:
         """Some requests come in two halves."""
         return self.random.uniform(*HALVES_S) if self.random.random() < SHARE_OF_HALVES else 0.0
 
-    def _ended(self, sent: Sent, problem: EndedError) -> None:
+    def _ended(self, what: str, problem: EndedError) -> None:
         """A request that was read is answered whole, unless its process was killed."""
-        sent.answered_at = now()
         life, record = self._life, self.crowd.record
-        record.event(f"{sent.id} at {sent.edge}: {problem}")
+        record.event(f"{what}: {problem}")
         was_killed = life is None or life.got("KILL", "STOP")
         if problem.part and not was_killed:
-            record.problem(f"MIXED {sent.id} at {sent.edge}: a part of an answer: {problem.part[:80]!r}")
+            record.problem(f"MIXED {what}: a part of an answer: {problem.part[:80]!r}")
         if problem.was_read and not was_killed:
-            record.problem(
-                f"LOST {sent.id} at {sent.edge}: its request was read, and then the connection ended"
-            )
+            record.problem(f"LOST {what}: its request was read, and then the connection ended")
 
-    async def _read_to_the_end(self, sent: Sent, closes: bool) -> None:
+    async def _read_to_the_end(self, what: str, closes: bool) -> None:
         """Behind an answer that ends the connection comes nothing but its end."""
         if closes and self._connection is not None:
             try:
                 async with asyncio.timeout(HUNG_S):
                     rest = await self._connection.rest()
             except TimeoutError:
-                self.crowd.record.problem(f"{sent.id} at {sent.edge}: no end behind Connection: close")
+                self.crowd.record.problem(f"{what}: no end behind Connection: close")
                 rest = b""
             if rest:
-                self.crowd.record.problem(f"MIXED {sent.id} at {sent.edge}: behind its answer: {rest[:80]!r}")
+                self.crowd.record.problem(f"MIXED {what}: behind its answer: {rest[:80]!r}")
         self._leave()
 
     def _leave(self) -> None:
--- a/tests/soaking/configurations.py
+++ b/tests/soaking/configurations.py
@@ -8,7 +8,8 @@
 from tests.soaking.plan import ROUTES, SERVICES, TENANTS
 
 HOSTNAME = "soak.example"
-DEADLINE_MS, MAX_TRIES = 1500, 3
+DEADLINES_MS, MAX_TRIES = (1200, 1500, 2500), 3
+UNUSED_SERVICE = "gamma"
 KEYS_EACH = 2
 LASTING = {"route-0", "route-1", "route-2", "route-3"}  # never dropped: what they accept must be run
 HAS_TENANTS = importlib.util.find_spec("sableford.edge.authentication") is not None
@@ -33,7 +34,7 @@
         "pathPrefix": path_prefix(number),
         "variant": "deferred",
         "backend": service,
-        "deadlineMs": DEADLINE_MS,
+        "deadlineMs": DEADLINES_MS[1],
         "targetMs": 100,
         "startTargetMs": 1200,
         "rank": number % 3,
@@ -140,10 +141,28 @@
             else:
                 one["apiKeys"].pop(random.randrange(len(one["apiKeys"])))
             return "tenants", {one["name"]}
+        if kind in ("add service", "change service"):
+            return "backends", self._change_service(kind, new["backends"])
+        if kind == "time route":
+            timed = random.choice(routes)
+            timed["deadlineMs"] = random.choice(DEADLINES_MS)
+            return "routes", {timed["name"]}
         moved = random.choice(routes)
         moved["backend"] = random.choice(SERVICES)
         return "routes", {moved["name"]}
 
+    def _change_service(self, kind: str, services: list[dict]) -> set[str]:
+        """One that no route names comes or goes, or one takes another number of connections."""
+        if kind == "change service":
+            changed = self.random.choice(services)
+            changed["maxConns"] = self.random.randint(50, 300)
+            return {changed["name"]}
+        if services[-1]["name"] == UNUSED_SERVICE:
+            services.pop()
+            return set()
+        services.append(services[0] | {"name": UNUSED_SERVICE})
+        return {UNUSED_SERVICE}
+
     def _new_key(self, number: int) -> str:
         self._keys += 1
         return f"tenant-{number}.later-{self._keys}"
--- a/tests/soaking/deeds.py
+++ b/tests/soaking/deeds.py
@@ -79,10 +79,11 @@
 
 
 async def change_settings(deeds: Deeds, series: Series, random: Random) -> None:
-    """With a signal and without; some half written for a moment."""
+    """With a signal and without; some half written for a moment, though not while a process starts: one that
+    finds no sound file then ends with 2, as it says it does."""
     node = random.choice(deeds.fleet.nodes)
     deeds.fleet.record.event(f"{node.name}: settings")
-    if random.random() < 0.3:
+    if random.random() < 0.3 and await node.is_ready():
         node.spoil_settings()
         if random.random() < 0.5:
             hang_up(node)
--- a/tests/soaking/judge.py
+++ b/tests/soaking/judge.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from tests.soaking.configurations import HAS_TENANTS, MAX_TRIES, expected, route_of, tenant_of_key
+from tests.soaking.configurations import HAS_TENANTS, MAX_TRIES, expected, has_key, route_of, tenant_of_key
 from tests.soaking.fleet import BOUNDS
 from tests.soaking.record import Life, Record, Run, Sent, Version
 
@@ -13,6 +13,7 @@
 NEVER_RUN = (400, 401, 404, 408, 421, 429, 503)
 OWN_ANSWERS = (404, 401, 202)  # that follow from the configuration alone
 LIKELY = (202, 401, 404, 408, 429, 503, 504, 0)
+STATE_ANSWERS = (200, 401, 404, 408, 503)
 ENDED_BY = {0: ("TERM",), -15: ("TERM",), -9: ("KILL",)}
 
 
@@ -24,7 +25,15 @@
             self.runs[run.id].append(run)
 
     def wrongs(self) -> list[str]:
-        checks = (self._answers, self._runs, self._ends, self._order, self._repeats, self._lives)
+        checks = (
+            self._answers,
+            self._states,
+            self._runs,
+            self._ends,
+            self._order,
+            self._repeats,
+            self._lives,
+        )
         return [wrong for check in checks for wrong in check()]
 
     # Configurations
@@ -65,6 +74,34 @@
             if sent.status in NEVER_RUN and self.runs[sent.id]:
                 yield f"REFUSED {sent.id}: answered {sent.status}, and it ran"
 
+    def _states(self) -> Iterator[str]:
+        """What askers were told while the message was under way or had ended."""
+        for asked in self.record.asked:
+            sent = self.record.sent[asked.id]
+            versions = self.in_force(asked.sent_at, asked.answered_at)
+            if asked.status not in STATE_ANSWERS:
+                yield f"ANSWER {asked.id}: its state was answered with {asked.status}"
+            if asked.status == 404 and not self.was_dropped(sent, asked.answered_at):
+                yield f"LOST {asked.id}: its state was answered with 404"
+            if asked.status == 401 and all(self._may_ask(one, sent) for one in versions):
+                yield f"CONFIG {asked.id}: its state was answered with 401, and its key is there"
+            if asked.phase == "complete" and asked.seal not in self._seals(asked.id, asked.answered_at):
+                yield f"MIXED {asked.id}: complete with {asked.seal!r}, which no run had by then"
+            if asked.phase == "dead_letter" and not self._has_ended(sent, asked.answered_at):
+                yield f"MIXED {asked.id}: dead_letter, and it had not ended"
+
+    def _may_ask(self, version: Version, sent: Sent) -> bool:
+        """Its key is known there; a message of no tenant needs none."""
+        tenants = self.record.tenants.get(sent.id, {""})
+        return not HAS_TENANTS or tenants == {""} or has_key(version.document, sent.key)
+
+    def _seals(self, id: str, until: float) -> set[str]:
+        return {run.seal for run in self.runs[id] if run.status == 200 and run.ended_at <= until}
+
+    def _has_ended(self, sent: Sent, until: float) -> bool:
+        ended = self.ended_at(sent.id)
+        return (ended is not None and ended <= until) or self.was_dropped(sent, until)
+
     def _runs(self) -> Iterator[str]:
         for run in self.record.runs:
             sent = self.record.sent.get(run.id)
@@ -123,8 +160,7 @@
         for earlier in queue:
             if not earlier.accepted or earlier.answered_at >= later.sent_at:
                 continue
-            ended = self.ended_at(earlier.id)
-            if (ended is None or ended > run.begun_at) and not self.was_dropped(earlier, run.begun_at):
+            if not self._has_ended(earlier, run.begun_at):
                 yield f"ORDER {later.id} began at {run.worker} before {earlier.id} had ended"
 
     def _repeats(self) -> Iterator[str]:
--- a/tests/soaking/record.py
+++ b/tests/soaking/record.py
@@ -35,6 +35,18 @@
         return self.status == 202
 
 
+@dataclass
+class Asked:
+    """What a client was told of a message's state, with the key that the message was sent with."""
+
+    id: str
+    sent_at: float
+    answered_at: float = 0.0
+    status: int = UNANSWERED
+    phase: str = ""
+    seal: str = ""
+
+
 @dataclass
 class Run:
     """One run of a message at a worker. `status` is what the worker answered, 0 where it broke off."""
@@ -85,6 +97,7 @@
 
     sent: dict[str, Sent] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
+    asked: list[Asked] = field(default_factory=list)
     tenants: dict[str, set[str]] = field(default_factory=dict)  # by message: as workers were told
     versions: list[Version] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
