Ignore signals once a process has ended its work, so that a second one leaves its exit code

Cause: as it ends, the interpreter gives signals that have a handler their default back. Change: the last step of a process ignores SIGTERM, SIGINT and SIGHUP.

--- a/sableford/node/cli.py
+++ b/sableford/node/cli.py
@@ -30,6 +30,7 @@
 
                 await Gateway(runtime).run()
         finally:
+            runtime.ignore_signals()
             runtime.log.close()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/sableford/node/runtime.py
+++ b/sableford/node/runtime.py
@@ -23,6 +23,8 @@
 SETTINGS_CHECK_S = 2.0  # between two looks at the settings file
 FIXED_SETTINGS = ("bind_ip", "port_range", "bind_addrs", "data_dir")  # a change needs a restart
 
+HEARD_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 class StoreStatus(NamedTuple):
     """What a store tells the leader beside what all members do; see `protocol.MemberStatus`."""
@@ -103,6 +105,13 @@
             self.log.event("ending")
             self.member.renew_now()
 
+    def ignore_signals(self) -> None:
+        """All is done: a signal that comes once more is not to end the process in another way than it ends.
+        The interpreter gives signals with a handler their default back as it ends, but not ignored ones."""
+        for number in HEARD_SIGNALS:
+            self.loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
     # Tasks
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -39,7 +39,7 @@
 # With processes, threads or sockets of their own.
 ALONE = {
     f"tests.{name}"
-    for name in ("command", "example", "handover", "joined", "node_start", "rig", "soak", "upgrade")
+    for name in ("command", "example", "handover", "joined", "node_signals", "rig", "soak", "upgrade")
 }
 
 
