--- a/tests/soaking/connection.py
+++ b/tests/soaking/connection.py
@@ -74,7 +74,12 @@
     async def _was_read(self) -> bool:
         """After the other side's FIN. A socket that is closed with bytes unread, or that gets bytes once it
         is closed, answers with a reset. Bytes that were acknowledged and followed by none were read."""
-        line = self._writer.get_extra_info("socket")
+        try:
+            return await self._acknowledged_without_reset(self._writer.get_extra_info("socket"))
+        except OSError:  # the transport itself has closed it, after a reset
+            return False
+
+    async def _acknowledged_without_reset(self, line: socket.socket) -> bool:
         until = now() + SETTLE_S
         while now() < until:
             if line.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
