--- a/tests/soak_judge.py
+++ b/tests/soak_judge.py
@@ -6,7 +6,7 @@
 from tests.soaking import configurations
 from tests.soaking.judge import Judge
 from tests.soaking.plan import draw
-from tests.soaking.record import Life, Record, Run, Sent, Version
+from tests.soaking.record import Asked, Life, Record, Run, Sent, Version
 
 KEY = "tenant-0.key-0"
 
@@ -131,3 +131,24 @@
         record = scene()
         record.lives[0].code, record.lives[0].signals = code, [(20.0, signals)]
         assert rules(record) == {"FAULT"}, (code, signals)
+
+
+# A state that no run had brought about by then passes.
+def shows_a_state_that_was_not_yet_so_is_a_wrong() -> None:
+    for status, phase, seal, wrong in (
+        (200, "complete", "seal-a", set()),
+        (200, "complete", "seal-b", {"MIXED"}),
+        (200, "complete", "", {"MIXED"}),
+        (200, "dead_letter", "", set()),
+        (200, "pending", "", set()),
+        (404, "", "", {"LOST"}),
+        (503, "", "", set()),
+        (500, "", "", {"ANSWER"}),
+    ):
+        record = scene()
+        record.asked.append(Asked("a", 10.5, 10.6, status, phase, seal))
+        assert rules(record) == wrong, (status, phase, seal)
+    for phase, seal in (("complete", "seal-a"), ("dead_letter", "")):
+        record = scene()
+        record.asked.append(Asked("a", 10.2, 10.25, 200, phase, seal))
+        assert rules(record) == {"MIXED"}, phase
--- a/tests/soaking/workers.py
+++ b/tests/soaking/workers.py
@@ -17,7 +17,7 @@
 BEAT_TIMEOUT_S = 1.0
 RUN_S = (0.002, 0.06)
 SLOW_RUN_S = 0.8
-READ_PROOF_S = 4.0  # past any attempt's deadline, at which an unread answer's connection is dropped
+SILENT_S = 4.0  # past any attempt's deadline
 POISON = ("always-500", "always-422")
 
 
@@ -100,8 +100,6 @@
                 if last is not None:
                     last.was_read = True  # its connection is used again
                 last = await self._request(head, reader, writer)
-        if last is not None and now() - last.ended_at > READ_PROOF_S:
-            last.was_read = True
         self._lines.discard(writer)
         writer.close()
 
@@ -147,7 +145,7 @@
             writer.transport.abort()
             return None
         if way == "silent":
-            await asyncio.sleep(READ_PROOF_S)
+            await asyncio.sleep(SILENT_S)
             return None
         if way == "cut short":
             writer.write(f"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nContent-".encode())
