--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -25,8 +25,10 @@
     "notation",
     "socket_scenes",
     "socket_stubs",
+    "loopback",
     "memory_network",
     "runner",
+    "soaking",
     "slow",
 }  # what tests use or start
 MODULES = [
@@ -37,7 +39,11 @@
 # With processes, threads or sockets of their own.
 ALONE = {
     f"tests.{name}"
+<<<<<<< HEAD
     for name in ("command", "duty_platform", "example", "handover", "joined", "rig", "upgrade")
+=======
+    for name in ("command", "example", "handover", "joined", "node_signals", "rig", "soak", "upgrade")
+>>>>>>> soak
 }
 
 
