--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -39,11 +39,17 @@
 # With processes, threads or sockets of their own.
 ALONE = {
     f"tests.{name}"
-<<<<<<< HEAD
-    for name in ("command", "duty_platform", "example", "handover", "joined", "rig", "upgrade")
-=======
-    for name in ("command", "example", "handover", "joined", "node_signals", "rig", "soak", "upgrade")
->>>>>>> soak
+    for name in (
+        "command",
+        "duty_platform",
+        "example",
+        "handover",
+        "joined",
+        "node_signals",
+        "rig",
+        "soak",
+        "upgrade",
+    )
 }
 
 
