--- a/tests/duties.py
+++ b/tests/duties.py
@@ -3,11 +3,13 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from sableford.common.settings import USAGE_REPORT, CloudApi, Settings, SettingsError, parse
+from sableford.control.duty_manager import DutyManager
 from sableford.control.protocol import RenewRequest, Update
 from sableford.duties import state as duty_state
 from sableford.duties.duty_holder import DutyHolder
@@ -480,3 +482,50 @@
         assert members.state.sealed == {window + 1: {}}
 
     asyncio.run(scene())
+
+
+# Mistakes that walks seldom meet, and that these tests must find
+
+
+def told_at_once(original: Callable) -> Callable:
+    async def propose(self: DutyManager, wanted: DutyState) -> None:
+        before, self.state = self.state, wanted
+        self._tell(before)
+        await original(self, wanted)
+
+    return propose
+
+
+def shows_planted_mistakes_are_found_by_the_tests_above() -> None:
+    for owner, name, mistake, check in (
+        (
+            DutyManager,
+            "_propose",
+            told_at_once(DutyManager._propose),
+            shows_stores_are_told_of_a_holder_once_it_is_agreed_on,
+        ),
+        (
+            Holding,
+            "may_send",
+            lambda self, call, holds_lease, leaving: self.is_named(),
+            shows_the_lease_is_looked_at_as_each_call_is_written,
+        ),
+        (
+            Holding,
+            "refused",
+            lambda self, call: None,
+            shows_windows_go_in_order_and_nothing_after_a_refusal,
+        ),
+        (
+            RecentHolders,
+            "barred",
+            lambda self, now: set(),
+            shows_a_holder_that_was_followed_is_passed_over_for_a_while,
+        ),
+    ):
+        with mock.patch.object(owner, name, mistake):
+            try:
+                check()
+            except AssertionError:
+                continue
+        raise AssertionError(f"{owner.__name__}.{name} was not missed")
