--- a/sableford/common/settings.py
+++ b/sableford/common/settings.py
@@ -10,6 +10,11 @@
 DEFAULT = "/etc/sableford/settings.yaml"
 USAGE_REPORT = "usage_report"  # of `cloudApi.dutySet`
 
+# Of `ruleParts`: those whose rules this program keeps.
+KNOWN_RULE_PARTS = frozenset(
+    ("base", "drain", "config", "cost", "ingest", "recover", "health", "pool", "tenants", "leader")
+)
+
 
 class SettingsError(Exception):
     """One line: the file, the field, what is wrong with it."""
@@ -97,6 +102,16 @@
     tolerates: Tolerates = msgspec.field(default_factory=Tolerates)
     rule_bounds: Bounds = msgspec.field(default_factory=Bounds)
     cloud_api: CloudApi | None = None
+    rule_parts: list[str] = []  # what is asked of this deployment
+
+    @property
+    def unknown_rule_parts(self) -> list[str]:
+        """What is asked for and not built.
+
+        >>> Settings("a", "10.0.0.1", "z", (1, 2), rule_parts=["base", "quotas"]).unknown_rule_parts
+        ['quotas']
+        """
+        return [part for part in self.rule_parts if part not in KNOWN_RULE_PARTS]
 
     @property
     def reports_usage(self) -> bool:
--- a/sableford/node/runtime.py
+++ b/sableford/node/runtime.py
@@ -100,6 +100,8 @@
         self.spawn(self.member.run())
         self.spawn(self._watch_settings())
         self.log.event("up", role=self.role, birth=self.incarnation, pid=os.getpid())
+        if unknown := self.settings.unknown_rule_parts:
+            self.log.event("rule_parts_unknown", parts=unknown)
 
     def end(self) -> None:
         """The process is to end: others are told at once."""
