Let messages wait for the version of the configuration that they were taken under

Seen in a test only: an edge took a message by version 2, and its store, which still had version 1, ran it at the service of the old route. A message's version was looked at only where no route was found.

A message whose version is newer than the store's now waits for it, whatever the old route says. Its retention still ends it, but no older version ends it sooner than 5 s after it was sent: a store that holds a lease has the version by then. Just before a delivery is written it is asked once more whether the configuration in force leads to that worker's service and address; if not, the message goes back into its queue.

Tests: 'a message taken under a newer version is not run by an older one' failed before (listed) and passes. New: 'a delivery that an older version chose is not begun under a newer one' and 'a message whose version never comes ends with its retention' failed before; so did 'an old version with a short retention ends no message of a newer one'. In tests.calls 'a delivery begins only while its store may begin it' had None for a worker; it is a listed worker of the route's service now, with the same checks.

--- a/sableford/store/delivery_order.py
+++ b/sableford/store/delivery_order.py
@@ -18,7 +18,8 @@
 from sableford.transport.routes import Route
 
 LATE_SHARE = 8  # one in so many deliveries is of an overdue message, while others still keep their target
-NEW_ROUTE_MS = 30.0  # before a message for a route that is not known yet is looked at again
+NEW_VERSION_MS = 30.0  # before a message of a configuration that is not known yet is looked at again
+VERSION_ARRIVAL_MS = 5000.0  # a version that edges act on is by then at all stores that hold a lease
 LOOKUP_MS = 250.0  # for other stores to say whether they know a message
 SENDER_SLACK_MS = 400.0  # past its deadline that word of a delivery by the owner before may take
 DEFAULT_DEADLINE_MS = 1000.0  # of a message whose route has gone meanwhile
@@ -84,21 +85,29 @@
             self._delay(message)
             return
         state, route = self._state, self._state.route_of(message)
-        if route is None:
-            self._enqueue_without_route(now, message)
-        elif route.retention_s and now - message.sent_at > route.retention_s * 1000.0:
+        if route is not None and self._is_past_retention(now, message, route):
             self.finish(now, message, state.final_state(DEAD_LETTER, "its retention is over"))
+        elif self._is_of_newer_version(message):
+            message.not_before = now + NEW_VERSION_MS
+            self._delay(message)
+        elif route is None:
+            self.finish(now, message, state.final_state(DEAD_LETTER, "no route leads there any more"))
         else:
             ready = self._ready.setdefault(route.backend, [])
             heappush(ready, (route.rank, message.due_at, state.next_position(), message.ref))
 
-    def _enqueue_without_route(self, now: float, message: Message) -> None:
-        if message.revision > self._state.table.revision:  # a route that is not known here yet
-            message.not_before = now + NEW_ROUTE_MS
-            self._delay(message)
-            return
-        gone = self._state.final_state(DEAD_LETTER, "no route leads there any more")
-        self.finish(now, message, gone)
+    def _is_of_newer_version(self, message: Message) -> bool:
+        """Whether it was accepted under a version of the configuration that has yet to come here."""
+        return message.revision > self._state.table.revision
+
+    def _is_past_retention(self, now: float, message: Message, route: Route) -> bool:
+        """By the version here, which ends no message that may just be waiting for its own version."""
+        if not route.retention_s:
+            return False
+        retention_ms = route.retention_s * 1000.0
+        if self._is_of_newer_version(message):
+            retention_ms = max(retention_ms, VERSION_ARRIVAL_MS)
+        return now - message.sent_at > retention_ms
 
     def _delay(self, message: Message) -> None:
         heappush(self._delayed, (message.not_before, self._state.next_position(), message.ref))
@@ -173,11 +182,16 @@
 
     def may_send(self, now: float, ref: str, worker: str) -> bool:
         """Whether a delivery is still this store's to begin, once its bytes are read and its worker dialled:
-        another owner may have begun it after this one's lease."""
+        another owner may have begun it after this one's lease, and another configuration may have come."""
         message = self._state.messages.get(ref)
         if message is None or message.state is not State.IN_FLIGHT or not self._state.owns(message):
             return False
-        return self._state.holds_lease(now) and worker in self._choice.workers
+        return self._state.holds_lease(now) and self._leads_to(message, worker)
+
+    def _leads_to(self, message: Message, worker: str) -> bool:
+        """Whether the configuration in force sends the message to the worker's service."""
+        known, route = self._choice.workers.get(worker), self._state.route_of(message)
+        return known is not None and route is not None and known.entry.backend == route.backend
 
     def _next(self, now: float, backend: str) -> Message | None:
         """The next one of a service: earliest due among those that can keep their target, then overdue ones.
--- a/sableford/store/effect_executor.py
+++ b/sableford/store/effect_executor.py
@@ -9,8 +9,8 @@
 
 from sableford.common.log import EventLog
 from sableford.control.view import Number
-from sableford.store.choice import Choice
-from sableford.store.delivery import DeliveryClient
+from sableford.store.choice import Choice, WorkerEntry
+from sableford.store.delivery import DeliveryClient, Destination
 from sableford.store.message_storage import BodyReader, Clocks, MessageStorage
 from sableford.store.messages import (
     AskFinalStates,
@@ -285,10 +285,16 @@
         if body is None:
             return Verdict(Execution.NOT_RUN, "its bytes can't be read")
         message.body = body
+        entry = worker.entry
         return await self.delivery_client.deliver(
-            message, body, worker.entry, effect.until, lambda: self.may_send(effect)
+            message, body, entry, effect.until, lambda: self._is_at(entry) and self.may_send(effect)
         )
 
+    def _is_at(self, dialled: WorkerEntry) -> bool:
+        """Whether the worker, or the service at one address, has not moved since."""
+        worker = self._choice.workers.get(dialled.id)
+        return worker is not None and Destination.of(worker.entry) == Destination.of(dialled)
+
     def may_send(self, effect: Deliver) -> bool:
         """Whether a delivery is still this store's to begin."""
         return self._queue.may_send(self._now(), effect.ref, effect.worker)
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -10,7 +10,7 @@
 
 from sableford.control.view import StoreInfo, View
 from sableford.simulation.stores import DOC
-from sableford.store.choice import Choice
+from sableford.store.choice import Choice, WorkerEntry
 from sableford.store.delivery_order import LOOKUP_MS
 from sableford.store.effect_executor import CALL_TIMEOUT_MS, EffectExecutor
 from sableford.store.messages import Deliver, Lookup, Message, RespondToPut, State, WriteMessage
@@ -308,7 +308,7 @@
     state = queue.state
     message = Message(HEADER, b"x", 0.0, 0.0)
     message.state = State.IN_FLIGHT
-    queue.choice.workers["w"] = None
+    queue.choice.put(0.0, WorkerEntry("w", "a", "10.0.0.9", 80, "z", 2, True), 0.0)
     state.messages, state.owned, state.lease = {message.ref: message}, {0: (1, 1)}, 1000.0
     clock = SimpleNamespace(now=lambda: 999.0)
     executor = SimpleNamespace(_queue=queue, _now=lambda: clock.now())
--- a/tests/configuration_versions.py
+++ b/tests/configuration_versions.py
@@ -141,6 +141,49 @@
         assert served_by(effects) == [f"of-{new}"], effects
 
 
+def shows_a_delivery_that_an_older_version_chose_is_not_begun_under_a_newer_one() -> None:
+    # CONFIG: while its bytes were read and its worker dialled, a version came that moves or drops its route.
+    route_of_b = next(route for route in DOC["routes"] if route["name"] == "b")
+    services = [{"name": "a"}, {"name": "b"}]
+    moved = {"routes": [route_of_b | {"backend": "b"}], "backends": services}
+    dropped = {"routes": [], "backends": services}
+    for doc, is_begun in ((DOC, True), (moved, False), (dropped, False)):
+        queue = with_workers_of_both_services()
+        effects = [*queue.put(0.0, PUT, b"x", "edge"), *queue.message_written(0.0, PUT.ref)]
+        effects += queue.message_copied(0.0, PUT.ref, "s1", True)
+        assert served_by(effects) == ["of-a"], effects
+        queue.configure(1.0, Table(2, doc))
+        assert queue.may_send(2.0, PUT.ref, "of-a") == is_begun, doc
+
+
+def shows_a_message_whose_version_never_comes_ends_with_its_retention() -> None:
+    # RETENTION: a message waited for ever at a store that never got the version that it was taken under.
+    retention_ms = 300_000.0  # as the configuration here has it
+    queue = with_workers_of_both_services()
+    queue.put(0.0, replace(PUT, revision=2), b"x", "edge")
+    queue.message_written(0.0, PUT.ref)
+    queue.message_copied(0.0, PUT.ref, "s1", True)
+    queue.tick(retention_ms, 0.0)
+    assert queue.status(PUT.ref).phase == "pending"
+    queue.tick(retention_ms + 100.0, 0.0)
+    assert queue.status(PUT.ref).phase == "dead_letter"
+
+
+def shows_an_old_version_with_a_short_retention_ends_no_message_of_a_newer_one() -> None:
+    # CONFIG: a message was given up by the retention of a version that was older than the message's own.
+    short = {"routes": [route | {"retentionS": 1} for route in DOC["routes"]], "backends": DOC["backends"]}
+    queue = with_workers_of_both_services()
+    queue.configure(0.0, Table(1, short))
+    queue.put(0.0, replace(PUT, revision=2, delay_ms=1500.0), b"x", "edge")
+    queue.message_written(0.0, PUT.ref)
+    queue.message_copied(0.0, PUT.ref, "s1", True)
+    for now in range(1500, 2000, 10):
+        queue.tick(float(now), 0.0)
+    assert queue.status(PUT.ref).phase == "pending"
+    queue.configure(2000.0, Table(2, DOC))
+    assert served_by([effect for now in (2010.0, 2040.0) for effect in queue.tick(now, 0.0)]) == ["of-a"]
+
+
 def shows_a_join_alone_prolongs_nothing_that_is_known_of_the_configuration() -> None:
     # CONFIG: a new leader's answer came and its snapshot did not; its member used an old version too long.
     async def play() -> None:
