--- a/sableford/control/member_client.py
+++ b/sableford/control/member_client.py
@@ -261,9 +261,9 @@
     def _apply_configuration(self, config: ConfigurationVersion) -> None:
         if self.config is not None and config.revision <= self.config.revision:
             return
-        self.config = config
         for notify in self.on_config:
             notify(config)
+        self.config = config  # only now: one that failed is applied again when its leader sends it anew
 
     def _apply_view(self, view: View, term: int) -> None:
         if view.number > self.view.number:
--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -85,12 +85,14 @@
 
     def configuration_changed(self, config: ConfigurationVersion) -> None:
         """Another version is in force."""
-        self.table = self._queries.table = Table(config.revision, config.document)
-        limits = self.table.limits
-        self.bounds.head = int(limits.get("maxHeaderBytes", self.bounds.head))
-        self.bounds.body = int(limits.get("maxBodyBytes", self.bounds.body))
-        self.bounds.head_ms = float(limits.get("headerTimeoutMs", self.bounds.head_ms))
-        self.bounds.idle_ms = float(limits.get("idleTimeoutMs", self.bounds.idle_ms))
+        bounds, table = self.bounds, Table(config.revision, config.document)
+        limits = table.limits
+        head = int(limits.get("maxHeaderBytes", bounds.head))
+        body = int(limits.get("maxBodyBytes", bounds.body))
+        head_ms = float(limits.get("headerTimeoutMs", bounds.head_ms))
+        idle_ms = float(limits.get("idleTimeoutMs", bounds.idle_ms))
+        self.table = self._queries.table = table  # nothing of a version that can't be read is in force
+        bounds.head, bounds.body, bounds.head_ms, bounds.idle_ms = head, body, head_ms, idle_ms
         self.log.event("config", revision=self.table.revision)
 
     def view_changed(self, view: View) -> None:
--- a/tests/configuration_versions.py
+++ b/tests/configuration_versions.py
@@ -228,3 +228,18 @@
         assert applied == ["failed", 2], applied
 
     asyncio.run(play())
+
+
+def shows_an_edge_keeps_all_of_its_version_where_the_next_can_not_be_read() -> None:
+    # CONFIG: an edge acted on the routes of one version and the limits of another.
+    async def scene(loop: asyncio.AbstractEventLoop) -> None:
+        gate = edge({"s0": Owner()})
+        gate.configuration_changed(ConfigurationVersion(1, document_with("limits", "maxBodyBytes", 10)))
+        before = acted_on(gate)
+        unreadable = document_with("limits", "maxBodyBytes", 20)
+        unreadable["limits"]["idleTimeoutMs"] = "soon"
+        with suppress(ValueError):
+            gate.configuration_changed(ConfigurationVersion(2, unreadable))
+        assert (gate.table.revision, acted_on(gate)) == (1, before)
+
+    simulated(scene)
