Refuse what is of another type in a configuration

Callers would see a configuration acknowledged that no member can apply ("rank": "2.0"), or that members read otherwise than it was checked ("fifo": "false" as true; seen in tests only). The check took texts and booleans for numbers and the reverse, while members read the document as it came.

The check is strict now, for 'public' of a route too. Integers stand for floats, and whole floats for integers (2.0 is 2 in JSON), since members read both alike.

--- a/sableford/control/configuration.py
+++ b/sableford/control/configuration.py
@@ -5,7 +5,7 @@
 
 from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError, model_validator
 
 # A version above it could not be written exactly by every JSON reader (RFC 8259, section 6), and the largest
 # 64-bit number, once taken, would leave no room for any later version.
@@ -14,6 +14,13 @@
 MAX_PORT = 65_535
 OPTIONAL_PARTS = ("tenants",)  # that a configuration may be without, and an amendment may bring
 
+
+def _without_fraction(value: Any) -> Any:
+    """JSON has one kind of number: 2.0 is 2."""
+    return int(value) if isinstance(value, float) and value.is_integer() else value
+
+
+Whole = Annotated[int, BeforeValidator(_without_fraction)]
 Text = Annotated[str, Field(min_length=1)]
 Figure = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
@@ -28,7 +35,9 @@
 
 
 class _Part(BaseModel):
-    model_config = ConfigDict(extra="allow")
+    """Strict: members read the document as it came, so nothing may be taken for another type here."""
+
+    model_config = ConfigDict(extra="allow", strict=True)
 
 
 class Route(_Part):
@@ -39,18 +48,19 @@
     deadlineMs: Positive
     variant: str = "deferred"
     targetMs: Figure = 0
-    rank: int = 0
-    maxTries: Annotated[int, Field(ge=1)] = 1
+    rank: Whole = 0
+    maxTries: Annotated[Whole, Field(ge=1)] = 1
     fifo: bool = False
     retentionS: Figure = 0
     notify: bool = False
+    public: bool = False
     startTargetMs: Figure | None = None
 
 
 class Backend(_Part):
     name: Text
     healthPath: str = "/"
-    maxConns: Annotated[int, Field(ge=1)] = 1
+    maxConns: Annotated[Whole, Field(ge=1)] = 1
     ratePerS: Figure = 0
     idempotent: bool = False
     pulled: bool = False
@@ -68,12 +78,12 @@
 
     name: Annotated[str, Field(pattern=HEADER_VALUE)]
     apiKeys: list[Annotated[str, Field(pattern=VISIBLE)]]
-    rank: int = 0
+    rank: Whole = 0
 
 
 class Limits(_Part):
-    maxHeaderBytes: Annotated[int, Field(gt=0)] = 16_384
-    maxBodyBytes: Annotated[int, Field(gt=0)] = 262_144
+    maxHeaderBytes: Annotated[Whole, Field(gt=0)] = 16_384
+    maxBodyBytes: Annotated[Whole, Field(gt=0)] = 262_144
     headerTimeoutMs: Positive = 3000
     idleTimeoutMs: Positive = 15_000
 
--- a/tests/configuration_versions.py
+++ b/tests/configuration_versions.py
@@ -104,6 +104,31 @@
     assert not wrong, wrong
 
 
+def is_refused(doc: dict[str, Any]) -> bool:
+    try:
+        check(doc)
+    except InvalidRequestError:
+        return True
+    return False
+
+
+def shows_what_is_of_another_type_is_refused_and_a_number_is_taken_however_it_is_written() -> None:
+    # CONFIG: "public": "false" was acknowledged, and whole numbers may come as 2.0 from some JSON writers.
+    for field, value in (("public", "false"), ("public", 1), ("rank", "2.0"), ("fifo", "no")):
+        assert is_refused(document_with("routes", field, value)), (field, value)
+    for tenants in ("a", {"name": "a"}, [{"name": "a", "apiKeys": "k"}], [{"name": "a", "apiKeys": [1]}]):
+        assert is_refused(document_with("routes", "rank", 1) | {"tenants": tenants}), tenants
+    for rank in ("1", True, 1.5):
+        tenant = {"name": "a", "apiKeys": ["k"], "rank": rank}
+        assert is_refused(document_with("routes", "rank", 1) | {"tenants": [tenant]}), rank
+    for part, field, value in (
+        *(("routes", "retentionS", 90.0), ("routes", "deadlineMs", 1200.0), ("routes", "deadlineMs", 1200)),
+        *(("routes", "rank", 2.0), ("backends", "ratePerS", 0.0), ("backends", "maxConns", 470.0)),
+        *(("backends", "endpoint", None), ("limits", "idleTimeoutMs", 15000), ("routes", "public", False)),
+    ):
+        assert not is_refused(document_with(part, field, value)), (field, value)
+
+
 def with_workers_of_both_services() -> Queue:
     """A store that owns all shards under version 1, in which all of /b goes to service b."""
     queue = Queue("s0", "b0", 1, Table(1, DOC), Choice("z0", "s0"), 600.0, True)
