--- a/sableford/control/member_client.py
+++ b/sableford/control/member_client.py
@@ -40,20 +40,22 @@
 ResponseType = TypeVar("ResponseType", bound=PeerResponse)
 
 
-def configuration_until(lease: float, apply_ms: float) -> float:
-    """Until when a member whose lease runs out at `lease` may act on the configuration that it has, so that
-    none acts on an old one later than `apply_ms` after the acknowledgement of a newer one.
-
-    The lease was granted in answer to a renewal sent LEASE_MS before its end. No newer configuration had been
-    sent on that link by then, or this member would have applied it first, since the link keeps the order. An
-    earlier leader, which does not know of a newer one, grants for QUORUM_FRESH_MS at most after the next one
-    has won. So the newer one was acknowledged no sooner than QUORUM_FRESH_MS before the renewal was sent.
-    With an `apply_ms` under LEASE_MS + QUORUM_FRESH_MS that is before the lease runs out.
+def configuration_until(configuration_lease: float, apply_ms: float) -> float:
+    """Until when a member may act on the configuration that it has, so that none acts on an old one later
+    than `apply_ms` after the acknowledgement of a newer one. `configuration_lease`: of its `MemberClient`.
+
+    That lease was granted in answer to a join or renewal sent LEASE_MS before its end, and the snapshot that
+    the leader sends after a join has been applied. No newer configuration had been sent on that link before
+    a renewal's answer, or this member would have applied it first, since the link keeps the order. The answer
+    to a join alone says nothing: its snapshot, with what is newer, comes after it. An earlier leader, which
+    does not know of a newer one, grants for QUORUM_FRESH_MS at most after the next one has won. So the newer
+    one was acknowledged no sooner than QUORUM_FRESH_MS before the renewal was sent. With an `apply_ms` under
+    LEASE_MS + QUORUM_FRESH_MS that is before the lease runs out.
 
     >>> configuration_until(1000.0, 3000.0), configuration_until(1000.0, 900.0)
     (2700.0, 600.0)
     """
-    return lease - LEASE_MS - QUORUM_FRESH_MS + apply_ms
+    return configuration_lease - LEASE_MS - QUORUM_FRESH_MS + apply_ms
 
 
 class MemberClient:
@@ -76,10 +78,12 @@
         self.config: ConfigurationVersion | None = None
         self.worker_table = WorkerTable()
         self.lease = 0.0  # ms of the loop's clock: until when this process may act
+        self.configuration_lease = 0.0  # the end of the last lease that the configuration here goes with
         self._granted_until = 0.0  # until when the leader counts it as a member: `lease`, once in force
         self._lapsed = True  # the lease ran out before the last join
         self._join_sent_at, self._join_term = 0.0, 0
         self._view_heard_at, self._view_term = -1.0, 0  # when a leader's view came last, and of which term
+        self._snapshot_heard_at, self._snapshot_term = -1.0, 0  # the same of its snapshot
         self.leader, self.term, self.update_number = "", 0, 0
         self.changed = asyncio.Event()  # set and replaced at each view
         self.on_view: list[Callable[[View], object]] = []
@@ -211,19 +215,21 @@
 
     def _put_lease_in_force(self) -> None:
         """Unless what this process owned before its lease ran out may be another's by now."""
-        if self._lapsed and not self._has_current_view():
+        if self._lapsed and not self._is_of_joined_leader(self._view_heard_at, self._view_term):
             return
         self._lapsed = False
-        if self._granted_until <= self.lease:
+        configuration_lease = self.configuration_lease
+        if self._is_of_joined_leader(self._snapshot_heard_at, self._snapshot_term):
+            configuration_lease = self._granted_until
+        if self._granted_until <= self.lease and configuration_lease <= self.configuration_lease:
             return
-        self.lease = self._granted_until
+        self.lease, self.configuration_lease = self._granted_until, configuration_lease
         for notify in self.on_lease:
             notify(self.lease)
 
-    def _has_current_view(self) -> bool:
-        has_joined = self._join_term > 0
-        is_heard = self._view_heard_at >= self._join_sent_at
-        return has_joined and is_heard and self._view_term >= self._join_term
+    def _is_of_joined_leader(self, heard_at: float, term: int) -> bool:
+        """Whether what came then, of that term, is of the leader that was joined last, since that join."""
+        return 0 < self._join_term <= term and heard_at >= self._join_sent_at
 
     async def _call(self, link: Link | None, request: PeerRequest[ResponseType]) -> ResponseType | None:
         if link is None:
@@ -248,6 +254,9 @@
         self.term, self.update_number = update.term, update.number
         if update.config is not None:
             self._apply_configuration(update.config)
+        if update.snapshot:
+            self._snapshot_heard_at, self._snapshot_term = self.now(), update.term
+            self._put_lease_in_force()
         if update.view is not None:
             self._apply_view(update.view, update.term)
         self._apply_workers(update)
--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -108,7 +108,7 @@
     def _knows_configuration(self) -> bool:
         """Whether the configuration here may be acted on; without a lease for long it may be an old one."""
         bound_ms = self.runtime.settings.rule_bounds.configuration_ms
-        until = configuration_until(self.member.lease, bound_ms)
+        until = configuration_until(self.member.configuration_lease, bound_ms)
         return bool(self.table.revision) and self.runtime.now() < until
 
     # Whether it may be sent clients
--- a/sableford/store/server.py
+++ b/sableford/store/server.py
@@ -263,7 +263,8 @@
     def _lease_extended(self, until: float) -> None:
         """An old configuration ends it sooner where the rule's bound is shorter than a lease."""
         bound_ms = self.runtime.settings.rule_bounds.configuration_ms
-        self.queue.state.lease = min(until, configuration_until(until, bound_ms))
+        known_until = configuration_until(self.member.configuration_lease, bound_ms)
+        self.queue.state.lease = min(until, known_until)
 
     # The end
 
--- a/tests/configuration_versions.py
+++ b/tests/configuration_versions.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from contextlib import suppress
-from types import SimpleNamespace
 from typing import Any
 
 from msgspec.structs import replace
 
+from sableford.common.settings import Bounds
 from sableford.control.configuration import Configuration, InvalidRequestError, check
 from sableford.control.protocol import ConfigurationVersion, Update
 from sableford.control.timing import LEASE_MS, QUORUM_FRESH_MS
@@ -219,7 +219,7 @@
         scene.member.apply_update(scene.link, update)
         gate = edge({"s0": Owner()})
         gate.member, gate.runtime.now = scene.member, lambda: scene.clock
-        gate.runtime.settings.rule_bounds = SimpleNamespace(apply_ms=APPLY_MS, revoke_ms=APPLY_MS)
+        gate.runtime.settings.rule_bounds = Bounds(apply_ms=APPLY_MS, revoke_ms=APPLY_MS)
         acknowledged_at = scene.clock - QUORUM_FRESH_MS  # of version 2, at the earliest, by another leader
         scene.clock += LEASE_MS - 1.0
         await scene.join(term=4)
--- a/tests/control_serving.py
+++ b/tests/control_serving.py
@@ -20,7 +20,7 @@
         gate = edge({"s0": Owner()})
         gate.runtime.settings.rule_bounds.apply_ms = apply_ms
         gate.runtime.ending = asyncio.Event()
-        gate.member.lease = LEASE_MS  # granted in answer to a renewal sent at 0
+        gate.member.configuration_lease = LEASE_MS  # granted in answer to a renewal sent at 0
         # The next leader may have won QUORUM_FRESH_MS before that, and had a newer version acknowledged at
         # once.
         last = apply_ms - QUORUM_FRESH_MS
--- a/tests/edge_gateway.py
+++ b/tests/edge_gateway.py
@@ -69,7 +69,7 @@
         links=SimpleNamespace(
             responsive_link=lambda name: None if name in silent else stores.get(name), link=stores.get
         ),
-        member=SimpleNamespace(view=view, lease=1e9, changed=asyncio.Event()),
+        member=SimpleNamespace(view=view, configuration_lease=1e9, changed=asyncio.Event()),
     )
     gate = Gateway(runtime)
     gate.configuration_changed(ConfigurationVersion(1, DOC))
--- a/tests/tenant_configuration.py
+++ b/tests/tenant_configuration.py
@@ -64,7 +64,7 @@
     def let_configuration_lapse(self, apply_ms: float) -> None:
         """The lease ended so long ago that this configuration may be an old one, by that bound."""
         elapsed_ms = configuration_until(0.0, apply_ms)
-        self.gate.member.lease = self.gate.runtime.now() - elapsed_ms
+        self.gate.member.configuration_lease = self.gate.runtime.now() - elapsed_ms
 
     async def send(self, key: str | None = None, target: str = "/b/1", method: str = "POST") -> bytes:
         """The head of the answer to one request."""
@@ -184,7 +184,7 @@
         for bounds.apply_ms, bounds.revoke_ms in ((4000.0, 2000.0), (2000.0, 5000.0)):
             client.let_configuration_lapse(2000.0)
             assert await client.status(KEY) == 503, bounds
-            client.gate.member.lease += 1.0
+            client.gate.member.configuration_lease += 1.0
             assert await client.status(KEY) == 202, bounds
 
     on_a_connection(document(1, tenant("a", KEY)), scene)
--- a/tests/tenant_routes.py
+++ b/tests/tenant_routes.py
@@ -68,7 +68,7 @@
             store = Owner(*[{"kept": True}] * 4)
             gate = edge({"s0": store})
             self._configure(gate, document)
-            gate.member.lease = lease
+            gate.member.configuration_lease = lease
             got = asked(gate, path, *fields)
             return (got if isinstance(got, Answer) else await got), store
 
