--- a/tests/configuration_versions.py
+++ b/tests/configuration_versions.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from contextlib import suppress
-from types import SimpleNamespace
 from typing import Any
 
 from msgspec.structs import replace
 
+from sableford.common.settings import Bounds
 from sableford.control.configuration import Configuration, InvalidRequestError, check
 from sableford.control.protocol import ConfigurationVersion, Update
 from sableford.control.timing import LEASE_MS, QUORUM_FRESH_MS
@@ -104,6 +104,31 @@
     assert not wrong, wrong
 
 
+def is_refused(doc: dict[str, Any]) -> bool:
+    try:
+        check(doc)
+    except InvalidRequestError:
+        return True
+    return False
+
+
+def shows_what_is_of_another_type_is_refused_and_a_number_is_taken_however_it_is_written() -> None:
+    # CONFIG: "public": "false" was acknowledged, and whole numbers may come as 2.0 from some JSON writers.
+    for field, value in (("public", "false"), ("public", 1), ("rank", "2.0"), ("fifo", "no")):
+        assert is_refused(document_with("routes", field, value)), (field, value)
+    for tenants in ("a", {"name": "a"}, [{"name": "a", "apiKeys": "k"}], [{"name": "a", "apiKeys": [1]}]):
+        assert is_refused(document_with("routes", "rank", 1) | {"tenants": tenants}), tenants
+    for rank in ("1", True, 1.5):
+        tenant = {"name": "a", "apiKeys": ["k"], "rank": rank}
+        assert is_refused(document_with("routes", "rank", 1) | {"tenants": [tenant]}), rank
+    for part, field, value in (
+        *(("routes", "retentionS", 90.0), ("routes", "deadlineMs", 1200.0), ("routes", "deadlineMs", 1200)),
+        *(("routes", "rank", 2.0), ("backends", "ratePerS", 0.0), ("backends", "maxConns", 470.0)),
+        *(("backends", "endpoint", None), ("limits", "idleTimeoutMs", 15000), ("routes", "public", False)),
+    ):
+        assert not is_refused(document_with(part, field, value)), (field, value)
+
+
 def with_workers_of_both_services() -> Queue:
     """A store that owns all shards under version 1, in which all of /b goes to service b."""
     queue = Queue("s0", "b0", 1, Table(1, DOC), Choice("z0", "s0"), 600.0, True)
@@ -141,6 +166,49 @@
         assert served_by(effects) == [f"of-{new}"], effects
 
 
+def shows_a_delivery_that_an_older_version_chose_is_not_begun_under_a_newer_one() -> None:
+    # CONFIG: while its bytes were read and its worker dialled, a version came that moves or drops its route.
+    route_of_b = next(route for route in DOC["routes"] if route["name"] == "b")
+    services = [{"name": "a"}, {"name": "b"}]
+    moved = {"routes": [route_of_b | {"backend": "b"}], "backends": services}
+    dropped = {"routes": [], "backends": services}
+    for doc, is_begun in ((DOC, True), (moved, False), (dropped, False)):
+        queue = with_workers_of_both_services()
+        effects = [*queue.put(0.0, PUT, b"x", "edge"), *queue.message_written(0.0, PUT.ref)]
+        effects += queue.message_copied(0.0, PUT.ref, "s1", True)
+        assert served_by(effects) == ["of-a"], effects
+        queue.configure(1.0, Table(2, doc))
+        assert queue.may_send(2.0, PUT.ref, "of-a") == is_begun, doc
+
+
+def shows_a_message_whose_version_never_comes_ends_with_its_retention() -> None:
+    # RETENTION: a message waited for ever at a store that never got the version that it was taken under.
+    retention_ms = 300_000.0  # as the configuration here has it
+    queue = with_workers_of_both_services()
+    queue.put(0.0, replace(PUT, revision=2), b"x", "edge")
+    queue.message_written(0.0, PUT.ref)
+    queue.message_copied(0.0, PUT.ref, "s1", True)
+    queue.tick(retention_ms, 0.0)
+    assert queue.status(PUT.ref).phase == "pending"
+    queue.tick(retention_ms + 100.0, 0.0)
+    assert queue.status(PUT.ref).phase == "dead_letter"
+
+
+def shows_an_old_version_with_a_short_retention_ends_no_message_of_a_newer_one() -> None:
+    # CONFIG: a message was given up by the retention of a version that was older than the message's own.
+    short = {"routes": [route | {"retentionS": 1} for route in DOC["routes"]], "backends": DOC["backends"]}
+    queue = with_workers_of_both_services()
+    queue.configure(0.0, Table(1, short))
+    queue.put(0.0, replace(PUT, revision=2, delay_ms=1500.0), b"x", "edge")
+    queue.message_written(0.0, PUT.ref)
+    queue.message_copied(0.0, PUT.ref, "s1", True)
+    for now in range(1500, 2000, 10):
+        queue.tick(float(now), 0.0)
+    assert queue.status(PUT.ref).phase == "pending"
+    queue.configure(2000.0, Table(2, DOC))
+    assert served_by([effect for now in (2010.0, 2040.0) for effect in queue.tick(now, 0.0)]) == ["of-a"]
+
+
 def shows_a_join_alone_prolongs_nothing_that_is_known_of_the_configuration() -> None:
     # CONFIG: a new leader's answer came and its snapshot did not; its member used an old version too long.
     async def play() -> None:
@@ -151,7 +219,7 @@
         scene.member.apply_update(scene.link, update)
         gate = edge({"s0": Owner()})
         gate.member, gate.runtime.now = scene.member, lambda: scene.clock
-        gate.runtime.settings.rule_bounds = SimpleNamespace(apply_ms=APPLY_MS, revoke_ms=APPLY_MS)
+        gate.runtime.settings.rule_bounds = Bounds(apply_ms=APPLY_MS, revoke_ms=APPLY_MS)
         acknowledged_at = scene.clock - QUORUM_FRESH_MS  # of version 2, at the earliest, by another leader
         scene.clock += LEASE_MS - 1.0
         await scene.join(term=4)
@@ -185,3 +253,18 @@
         assert applied == ["failed", 2], applied
 
     asyncio.run(play())
+
+
+def shows_an_edge_keeps_all_of_its_version_where_the_next_can_not_be_read() -> None:
+    # CONFIG: an edge acted on the routes of one version and the limits of another.
+    async def scene(loop: asyncio.AbstractEventLoop) -> None:
+        gate = edge({"s0": Owner()})
+        gate.configuration_changed(ConfigurationVersion(1, document_with("limits", "maxBodyBytes", 10)))
+        before = acted_on(gate)
+        unreadable = document_with("limits", "maxBodyBytes", 20)
+        unreadable["limits"]["idleTimeoutMs"] = "soon"
+        with suppress(ValueError):
+            gate.configuration_changed(ConfigurationVersion(2, unreadable))
+        assert (gate.table.revision, acted_on(gate)) == (1, before)
+
+    simulated(scene)
