--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -161,7 +161,7 @@
                 if progress.kept:
                     self._availability.accepted(put.shard)
                     return Answer(202, b"", (("Message-Ref", put.ref),))
-                self._noterefused(put, why)
+                self._note_refusal(put, why)
             may_settle = progress.unclear and self._any_store_responds()
             if self.runtime.now() >= (until if may_settle else hold_until):
                 break
@@ -190,7 +190,7 @@
             self._availability.unreachable(now, put.shard)
         return None if self._availability.is_passed_over(now, put.shard) else link
 
-    def _noterefused(self, put: PutRequest, why: str) -> None:
+    def _note_refusal(self, put: PutRequest, why: str) -> None:
         now = self.runtime.now()
         if why == ISOLATED:
             self._isolated_until[self.member.view.owners[put.shard]] = now + ISOLATED_MS
