Write a node's name to the platform in UTF-8, so that no name ends the holder's task

A name beyond Latin-1 raised UnicodeEncodeError in the task that makes the duty's calls; the task ended, the store stayed the holder, and no window was reported any more. Found by reading; the test failed before with that error and passes now.

--- a/sableford/duties/platform_client.py
+++ b/sableford/duties/platform_client.py
@@ -62,7 +62,7 @@
             "Content-Type: application/json",
             f"Content-Length: {len(call.body)}",
         ]
-        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + call.body
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + call.body
 
 
 def _outcome_of(status: int) -> CallOutcome:
