Check the names to remove where a configuration has no tenants, as everywhere else

An amendment that removes tenants by something that is no list of names was acknowledged where the configuration named no tenants (CONFIG, an invalid one taken). Found by reading; the test failed before: 'a' was taken for a list. What such an amendment does otherwise is the same: nothing is added.

--- a/sableford/control/configuration.py
+++ b/sableford/control/configuration.py
@@ -160,9 +160,10 @@
     """
     new = dict(doc)
     for part, names in _parts(change, "remove"):
-        if part in OPTIONAL_PARTS and new.get(part) is None:
-            continue
-        new[part] = _without(new.get(part), names, part)
+        is_absent = part in OPTIONAL_PARTS and new.get(part) is None
+        remaining = _without([] if is_absent else new.get(part), names, part)
+        if not is_absent:
+            new[part] = remaining
     for part, items in _parts(change, "upsert"):
         if part == "limits" and isinstance(items, dict):
             new[part] = {**new.get(part, {}), **items}
