Seal no window while a store of the roster is away that may bring counts of it

Cause: a window was sealed as soon as all present members had settled it. A store whose lease had run out for a moment, or one that found a new leader some moments later than the others, was not waited for, and what it had counted was left out of the report for good (Duty, beyond usageError for its tenants). A store that went before the window began is not waited for.

Both tests failed before: totals of 8 and of 6 in place of 10.

--- a/sableford/control/duty_manager.py
+++ b/sableford/control/duty_manager.py
@@ -52,6 +52,8 @@
         self._accepted_until = 0  # windows that the platform has, as the holder says
         self._change: asyncio.Task[None] | None = None
         self._reason = ""  # of the change of holder that is proposed
+        self._leads_since = 0.0  # ms of the time of day
+        self._member_until: dict[str, float] = {}  # by store: when it was last seen to be a member, the same
         coordinator.duties_for = self._snapshot_for
 
     def apply(self, values: dict[str, Any]) -> None:
@@ -71,6 +73,7 @@
         """This process leads from now on; members tell it all that they know when they join."""
         self._ledger.clear()
         self._accepted_until = 0
+        self._leads_since, self._member_until = self._unix_ms(), {}
 
     def heard(self, status: MemberStatus) -> None:
         """What a member has said of itself, in a join or a renewal."""
@@ -86,6 +89,8 @@
     def tick(self) -> None:
         """What is due."""
         now = self._now()
+        if self._leads():
+            self._member_until.update(dict.fromkeys(self._coordinator.members, self._unix_ms()))
         is_under_way = self._change is not None and not self._change.done()
         if is_under_way or not self._leads() or not self._coordinator.knows_members(now):
             return
@@ -133,14 +138,26 @@
             return state
         present = [one.incarnation for one in self._coordinator.members.values() if one.role == "store"]
         newest = self._ledger.window_at(unix_ms) - MAX_OWED_WINDOWS
-        if newest > state.sealed_until and self._ledger.may_seal(newest, unix_ms, present):
+        if newest > state.sealed_until and self._may_seal(newest, unix_ms, present):
             state = duty_state.skipped_to(state, newest)
         window = state.sealed_until + 1
-        while self._ledger.may_seal(window, unix_ms, present):
+        while self._may_seal(window, unix_ms, present):
             state = duty_state.with_sealed_window(state, window, self._ledger.totals(window))
             window += 1
         return state
 
+    def _may_seal(self, window: int, unix_ms: float, present: list[str]) -> bool:
+        return self._ledger.may_seal(window, unix_ms, present, self._others_may_come(window))
+
+    def _others_may_come(self, window: int) -> bool:
+        """Whether a store of the roster that is away may have counted in that window: it was a member after
+        the window began, or had not joined this lead yet."""
+        members, began_at = self._coordinator.members, self._ledger.begins_at(window)
+        return any(
+            name not in members and self._member_until.get(name, self._leads_since) >= began_at
+            for name in self._coordinator.roster
+        )
+
     # What stores are told
 
     def _notice(self, sealed: dict[int, dict[str, int]]) -> DutyNotice:
--- a/sableford/duties/usage_ledger.py
+++ b/sableford/duties/usage_ledger.py
@@ -2,7 +2,7 @@
 
 input                                    next state
 a store's join or renewal                its totals by window and tenant, in place of those told before
-all present stores have settled a window it may be sealed
+all present stores have settled a window it may be sealed, unless others may come back with counts
 late, and most of them have              it may be sealed all the same
 a window is sealed                       counts of it are forgotten, and passed over from then on
 """
@@ -46,13 +46,20 @@
         """The window that is under way."""
         return int(unix_ms // self._window_ms)
 
-    def may_seal(self, window: int, unix_ms: float, present: Collection[str]) -> bool:
-        """Whether no present store is waited for any more. A leader whose clock is ahead seals nothing before
-        most stores say that the window is over."""
+    def begins_at(self, window: int) -> float:
+        """ms of the time of day."""
+        return window * self._window_ms
+
+    def may_seal(
+        self, window: int, unix_ms: float, present: Collection[str], others_may_come: bool = False
+    ) -> bool:
+        """Whether no store is waited for any more. `others_may_come`: stores that are away may have counted
+        in the window. A leader whose clock is ahead seals nothing before most stores say that the window is
+        over."""
         settled = sum(self._settled.get(store, 0) >= window for store in present)
-        if present and settled == len(present):
+        if present and settled == len(present) and not others_may_come:
             return True
-        is_late = unix_ms >= (window + 1) * self._window_ms + self._late_ms * LATE_PART
+        is_late = unix_ms >= self.begins_at(window + 1) + self._late_ms * LATE_PART
         return is_late and settled * 2 > len(present)
 
     def totals(self, window: int) -> dict[str, int]:
--- a/tests/tenant_review.py
+++ b/tests/tenant_review.py
@@ -1,10 +1,66 @@
-"""Faults that a review of tenants and duties looked for: settings and amendments with odd values."""
+"""Faults that a review of tenants and duties looked for: counts of stores that come back, settings and amendments with odd values."""
+
+import asyncio
 
 from sableford.control.configuration import InvalidRequestError, amended
+from sableford.control.timing import LEASE_MS
 from sableford.duties.platform_client import Verdict
+from tests.control_service import wins_again
+from tests.duties import Members, with_holder
 from tests.duty_platform import CALL, OK, StandIn, played
 
 
+# A window sealed without what a store had counted in it that had lost its lease for a moment, and was back
+# long before the window was late.
+def shows_a_window_waits_for_a_store_that_lost_its_lease_in_it() -> None:
+    async def scene() -> None:
+        members = Members()
+        holder = await with_holder(members)
+        window = members.state.sealed_until + 1
+        away, *others = sorted(members.peers, key=lambda name: name == holder)
+        for name in members.peers:
+            members.renew(name, usage={window: {"t": 2}}, usage_settled=window - 1)
+        for _ in range(3):
+            members.clock[0] += LEASE_MS / 2.0
+            for name in others:
+                members.renew(name)
+            members.control.tick()
+            await asyncio.sleep(0)
+        assert away not in members.control.coordinator.members
+        for name in others:
+            members.renew(name, usage={window: {"t": 3}}, usage_settled=window)
+        for _ in range(10):
+            members.control.tick()
+            await asyncio.sleep(0)
+        members.join(away, usage={window: {"t": 4}}, usage_settled=window)
+        await members.run(lambda: members.state.sealed_until == window)
+        assert members.state.sealed == {window: {"t": 10}}, members.state.sealed
+
+    asyncio.run(scene())
+
+
+# A new leader that sealed a window without a store that needed some moments longer to find it.
+def shows_a_new_leader_seals_no_window_without_a_store_that_joins_a_moment_later() -> None:
+    async def scene() -> None:
+        members = Members()
+        await with_holder(members)
+        window = members.state.sealed_until + 1
+        assert await wins_again(members.control, members.clock)
+        for name in ("s00", "s01"):
+            members.join(name, usage={window: {"t": 3}}, usage_settled=window)
+        for _ in range(15):  # 1.5 s: no store can hold an earlier leader's lease any more
+            members.clock[0] += 100.0
+            for name in ("s00", "s01"):
+                members.renew(name)
+            members.control.tick()
+            await asyncio.sleep(0)
+        members.join("s02", usage={window: {"t": 4}}, usage_settled=window)
+        await members.run(lambda: members.state.sealed_until == window)
+        assert members.state.sealed == {window: {"t": 10}}, members.state.sealed
+
+    asyncio.run(scene())
+
+
 # A duty that nobody does any more: its holder's task had ended on a name that fits no header's encoding.
 def shows_a_node_s_name_in_any_script_is_sent() -> None:
     stand_in = StandIn(OK)
