Show that a platform that was silent is not called for 8 s after it is back

A call that begins while the platform is silent waits for up to 8 s, and the next comes after it. A window that is sealed as late as it may be has 6 s left.

--- a/tests/tenant_review.py
+++ b/tests/tenant_review.py
@@ -1,14 +1,21 @@
-"""Faults that a review of tenants and duties looked for: counts of stores that come back, settings and amendments with odd values."""
+"""Faults that a review of tenants and duties looked for: counts of stores that come back, a platform that is
+silent, settings and amendments with odd values."""
 
 import asyncio
 
 from sableford.control.configuration import InvalidRequestError, amended
 from sableford.control.timing import LEASE_MS
-from sableford.duties.platform_client import Verdict
+from sableford.duties.duty_holder import DutyHolder
+from sableford.duties.holding import Call, Holding
+from sableford.duties.messages import DutyNotice
+from sableford.duties.platform_client import CallOutcome, Verdict
+from sableford.duties.usage_ledger import LATE_PART
 from tests.control_service import wins_again
 from tests.duties import Members, with_holder
 from tests.duty_platform import CALL, OK, StandIn, played
 
+USAGE_LATE_MS = 10_000.0  # `usageLateS` of the deployments with duties
+
 
 # A window sealed without what a store had counted in it that had lost its lease for a moment, and was back
 # long before the window was late.
@@ -61,6 +68,38 @@
     asyncio.run(scene())
 
 
+class SilentPlatform:
+    """It answers nothing; `timeouts` in ms are those that it was given."""
+
+    def __init__(self) -> None:
+        self.timeouts: list[float] = []
+
+    async def post(self, call: Call, timeout_ms: float, may_send: object) -> CallOutcome:
+        self.timeouts.append(timeout_ms)
+        return CallOutcome(Verdict.UNCLEAR)
+
+
+class NoLog:
+    def event(self, name: str, **fields: object) -> None:
+        """Nothing is kept."""
+
+
+# A window missed though the platform was back in time: its call still waited for an answer from before.
+def shows_a_platform_that_was_silent_is_called_again_before_the_next_window_is_late() -> None:
+    async def scene() -> None:
+        holding, platform = Holding("h", "h.1"), SilentPlatform()
+        holding.heard(DutyNotice("usage_report", 1, "h", "h.1", 200, {200: {"t": 1}}))
+        holder = DutyHolder(
+            "usage_report", holding, platform, 50.0, lambda: True, lambda: False, lambda: None, NoLog()
+        )
+        for _ in range(12):
+            wait_ms = await holder._step()
+            left_ms = USAGE_LATE_MS * (1.0 - LATE_PART)  # of a window that is sealed as late as it may be
+            assert platform.timeouts[-1] + wait_ms <= left_ms, (platform.timeouts, wait_ms)
+
+    asyncio.run(scene())
+
+
 # A duty that nobody does any more: its holder's task had ended on a name that fits no header's encoding.
 def shows_a_node_s_name_in_any_script_is_sent() -> None:
     stand_in = StandIn(OK)
