Show that a route which turns fifo keeps no order after what it took before

An Order-Key on a route that keeps no order is passed on, but its message stands in any shard, without a place among its key's. Once the route turns fifo the next message of that tenant and key begins while the earlier one is pending (ORDER).

--- a/tests/tenant_review.py
+++ b/tests/tenant_review.py
@@ -13,6 +13,7 @@
 from tests.control_service import wins_again
 from tests.duties import Members, with_holder
 from tests.duty_platform import CALL, OK, StandIn, played
+from tests.tenant_configuration import KEY, OpenConnection, document, on_a_connection, tenant
 
 USAGE_LATE_MS = 10_000.0  # `usageLateS` of the deployments with duties
 
@@ -122,3 +123,25 @@
             assert "remove.tenants" in str(problem)
         else:
             raise AssertionError(names)
+
+
+# A message that began before an earlier one of its Order-Key had ended, on a route that keeps order by now:
+# the earlier one was taken before that, stands in another shard and among no key's messages.
+def shows_order_is_kept_after_those_that_were_taken_before_their_route_kept_it() -> None:
+    async def scene(client: OpenConnection) -> None:
+        fields = f"Host: h\r\nOrder-Key: k\r\nAuthorization: Token {KEY}\r\nContent-Length: 0"
+        for revision, fifo in ((1, False), (2, True)):
+            doc = document(revision, tenant("a", KEY))
+            doc["routes"][0]["fifo"] = fifo
+            client.configure(doc)
+            transport = client._transport
+            before = len(transport.written)
+            transport.protocol.data_received(
+                f"POST /b/1 HTTP/1.1\r\n{fields}\r\nAttempt-Id: id-{revision}\r\n\r\n".encode()
+            )
+            while len(transport.written) == before:
+                await asyncio.sleep(0.01)
+        earlier, later = client.store.puts
+        assert (earlier.shard, earlier.key) == (later.shard, later.key), (earlier, later)
+
+    on_a_connection(document(1, tenant("a", KEY)), scene)
