Soak: write settings files as a whole, as whoever installs them does

Change: it is written beside and renamed over; files that are torn on purpose stay so, under processes that have read theirs.

--- a/tests/soaking/fleet.py
+++ b/tests/soaking/fleet.py
@@ -66,8 +66,11 @@
         }
 
     def write_settings(self) -> None:
+        """As a whole: a process that is only just starting finds the file before or after the change."""
         self.settings_changes += 1
-        self.file.write_text(json.dumps(self.settings()))
+        whole = self.file.with_suffix(".new")
+        whole.write_text(json.dumps(self.settings()))
+        whole.replace(self.file)
 
     def spoil_settings(self) -> None:
         """Half written, as an editor may leave it for a moment."""
