--- a/tests/soaking/fleet.py
+++ b/tests/soaking/fleet.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -111,7 +113,9 @@
         elif name == "CONT" and self.is_stopped:
             self.fleet.record.trouble(f"SIGCONT {self.name}")
         self.is_stopped = name == "STOP" or (self.is_stopped and name != "CONT")
-        self.process.send_signal(SIGNALS[name])
+        # Not by `send_signal`, which reaps a child that has just ended before its watcher reads how.
+        with suppress(ProcessLookupError):
+            os.kill(self.process.pid, SIGNALS[name])
 
     def hears(self, name: str) -> bool:
         """Whether the process catches or ignores the signal by now, as the kernel shows it."""
