--- a/review/stands.py
+++ b/review/stands.py
@@ -571,6 +571,8 @@
             record.say(f"could not run: {problem}")
         except TimeoutError:
             record.say("could not run: it took too long")
+        except Exception as problem:  # a fault of the case says nothing of the system
+            record.say(f"could not run: {problem!r}")
         return NOT_RUN
 
     return asyncio.run(run())
