--- a/review/1/play.py
+++ b/review/1/play.py
@@ -25,9 +25,9 @@
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1")  # 1: all of it, one: the first store alone, 0: none
-RUN_S = 1.3  # a worker's work on a message, inside the route's 1.5 s
-FIRST_S, SECOND_S = 0.5, 0.1  # before the order: each worker gets one message, and then one more
-POLL_S = 1.0  # between two looks of the operator at how far it is
+RUN_S = 1.4  # a worker's work on a message, inside the route's 1.5 s
+FIRST_S, SECOND_S = 0.4, 0.1  # before the order: each worker gets one message, and then one more
+POLL_S = 1.15  # between two looks of the operator at how far it is
 WORKERS, SLOTS, PORT = 2, 2, 9200
 CONFIGURATION = configuration(
     1,
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -25,11 +25,11 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DEADLINE_S, READ_S = 1.5, 0.05  # the route's timeout; by so much before it the answer must be complete
-RUN_S = float(os.environ.get("RUN_S", "1.0"))  # a worker's work on a message, well inside the timeout
+RUN_S = float(os.environ.get("RUN_S", "1.3"))  # a worker's work on a message, well inside the timeout
 WORKERS, SLOTS = 10, 2
 RATE = 0.95 * WORKERS * SLOTS / RUN_S  # messages a second: a little less than the workers can do
 BEFORE_S, AFTER_S, REST_S = 4.0, 2.0, 9.0
-POLL_S = 1.0  # between two looks of the operator at how far it is
+POLL_S = 2.0  # between two looks of the operator at how far it is
 PORT = 9200
 CONFIGURATION = configuration(1, [route("lookups", "/lohu930/", "matchhall")], [backend("matchhall")])
 
