--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,8 +18,8 @@
 DELAY_MS = 1000
 WAITING, WAITING_MS = 150, 115_000
 UNTIL_S = 103.0  # since the start of the case: no round begins later
-# The next store is stopped so long after the one before takes calls again: at once, or after a look or two.
-PAUSE_S = (0.0, 0.03)
+# The next store is stopped so long after the one before takes calls again.
+PAUSE_S = (0.018, 0.036)
 
 
 async def send_all(system: System, turn: int, count: int, delay_ms: int) -> dict[str, str]:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -141,12 +141,25 @@
         if headers.get("target-instance", self.id) != self.id:
             self.tell(event="misdirected", id=id)
             return f"HTTP/1.1 421 Misdirected Request\r\nNot-Run: 1\r\n{common}\r\n".encode()
+        try:
+            deadline_ms = float(headers.get("deadline-ms", "1e6"))
+            async with asyncio.timeout(deadline_ms / 1000.0):
+                seal = await self.run_one(id, headers, body, time.monotonic(), deadline_ms)
+        except TimeoutError:  # it stops work at the deadline that it is handed
+            self.tell(event="stopped", id=id)
+            return f"HTTP/1.1 504 Gateway Timeout\r\n{common}\r\n".encode()
+        self.tell(event="done", id=id, seal=seal, time=time.monotonic())
+        return f"HTTP/1.1 200 OK\r\nServer-Seal: {seal}\r\n{common}\r\n".encode()
+
+    async def run_one(
+        self, id: str, headers: dict[str, str], body: bytes, came: float, deadline_ms: float
+    ) -> str:
+        """Runs one message once a slot is free; the seal of the run."""
         async with self.slots:
-            self.tell(event="run", id=id, key=headers.get("order-key", ""), bytes=len(body))
+            key = headers.get("order-key", "")
+            self.tell(event="run", id=id, key=key, bytes=len(body), came=came, deadline_ms=deadline_ms)
             await asyncio.sleep(self.work_s)
-        seal = f"{self.id}.{os.urandom(4).hex()}"
-        self.tell(event="done", id=id, seal=seal)
-        return f"HTTP/1.1 200 OK\r\nServer-Seal: {seal}\r\n{common}\r\n".encode()
+            return f"{self.id}.{os.urandom(4).hex()}"
 
     async def beat(self) -> None:
         """Beats for as long as the process lives; after a failure the next scheduler is called."""
