Takeovers ask for the final states of what is pulled late as well

Cause: a takeover asked once which of the pulled messages had ended. A store that came into the view after that question was pulled from, too, but nobody was asked about what it brought, nor it about the rest. A store that was away brings what ended meanwhile, and that was delivered again.

Evidence: with the unasked messages added to `shards_open` (trial on a scratch copy), the two messages that ran twice were exactly those that nobody was asked about, and the store that had answered a pull unasked was the one just back.

Change: a takeover keeps for each store which messages it was asked about, and opens once every store that answered a pull was asked about every message without a final state. Questions are numbered one by one. The added wait is a round trip where a store comes in between; it ends after 1.5 s if the others suffice, and the log says so (final_states_asked_again, _unanswered).

The planted OpensAtOnce opens as before, without the field that is gone.

--- a/sableford/simulation/stores/__init__.py
+++ b/sableford/simulation/stores/__init__.py
@@ -84,6 +84,7 @@
         self.disruptions: list[tuple[float, float]] = []
         self.lost_until = 0.0  # until then a machine counts as lost
         self.unpowered: set[str] = set()  # stores without power
+        self.to_restart: list[str] = []  # stores that a rolling restart has not reached yet
         self.view_changes = self.disk_losses = 0
         self.seconds, self.fault_plan = seconds * 1000.0, (faults, kinds)
         # The delay is a maximum, for a fifth of the messages without a key.
--- a/sableford/simulation/stores/faults.py
+++ b/sableford/simulation/stores/faults.py
@@ -14,7 +14,9 @@
 FOLLOW_UP_MS = 60.0
 FOLLOW_UP_REPLACED_SHARE = 0.9  # share of replaced stores at whose end another store is lost
 EARLY_SHARE = 0.3  # share of planned replacements that start before the successor counts as complete
-PLANNED_KINDS = ("term", "planned", "retire")
+RESTART_MS = 800.0  # from the end of a process to the start of the next one on its machine
+TAKES_CALLS_BEFORE_JOIN_MS = 12.0  # at most, from when a restarted store takes calls until it joins
+PLANNED_KINDS = ("term", "rolling", "planned", "retire")
 DISK_LOSS_KINDS = ("wipe", "replace", "gone", "planned", "zone_wipe", "overlap")
 
 
@@ -53,6 +55,8 @@
         match kind:
             case "term":
                 self._terminate(store)
+            case "rolling":
+                self._restart_in_turn()
             case "planned":
                 self._replace_as_planned(store)
             case "retire":
@@ -72,9 +76,24 @@
         if any(one.leaving and (one.alive or not one.replaced) for one in self.stores.values()):
             self.later(200.0, self._terminate, store)  # one store at a time
             return
+        self._shut_down(store)
+
+    def _shut_down(self, store: SimulatedStore) -> None:
         store.leaving = True
         self.later(GRACE_MS, self._process_exited, store.name, store.incarnation)
 
+    def _restart_in_turn(self) -> None:
+        """Restarts all stores, each as soon as the one before it takes calls, just before that one joins."""
+        if not self.to_restart:
+            self.to_restart = sorted(one.name for one in self.stores.values() if one.alive)
+            self._restart_next()
+
+    def _restart_next(self) -> None:
+        if self.to_restart:
+            store = self.stores[self.to_restart.pop(0)]
+            self._shut_down(store)
+            self._send_renewal(store)  # as `MemberClient` does at once
+
     def _replace_as_planned(self, store: SimulatedStore) -> None:
         """Starts the successor first; the old store is removed permanently once it has exited."""
         if any(one.replaced and one.alive for one in self.stores.values()):
@@ -222,10 +241,14 @@
         if self._is_running(name, incarnation):
             self.end(name)
             if not self.stores[name].replaced:
-                self.later(800.0, self._start_again, name)
+                self.later(RESTART_MS, self._start_again, name)
+                self.later(RESTART_MS - self._time_before_join_ms(), self._restart_next)
             elif self.rng.random() < FOLLOW_UP_REPLACED_SHARE:  # the successor counts, so this is no loss
                 self._schedule_follow_up(0.0)
 
+    def _time_before_join_ms(self) -> float:
+        return self.rng.uniform(0.0, TAKES_CALLS_BEFORE_JOIN_MS) if self.to_restart else 0.0
+
     def _start_again(self, name: str) -> None:
         store = self.stores[name]
         if not store.alive:
--- a/sableford/simulation/stores/leader.py
+++ b/sableford/simulation/stores/leader.py
@@ -21,16 +21,20 @@
         if store.frozen_until > self.now or not self.leader_up or not self._is_reachable(name, "core"):
             store.joined = store.joined and self.leader_up and store.frozen_until > self.now
             return
+        if store.joined and store.term == self.term:
+            self._send_renewal(store)
+            return
         status, view = self._status(store), store.queue.state.view
         sent, term = self.now, self.term
-        if store.joined and store.term == term:
-            self.later(self._delay(), self._renewed, name, incarnation, status, sent)
-            return
         store.has_lapsed = store.has_lapsed or sent >= store.queue.state.lease
         store.has_current_view = False
         lease_left_ms = 0.0 if store.has_lapsed else store.queue.state.lease - sent
         self.later(self._delay(), self._join, name, status, view, lease_left_ms, sent, term)
 
+    def _send_renewal(self, store: SimulatedStore) -> None:
+        status = self._status(store)
+        self.later(self._delay(), self._renewed, store.name, store.incarnation, status, self.now)
+
     def _status(self, store: SimulatedStore) -> MemberStatus:
         queue = store.queue
         number, is_safe = queue.state.view.number, queue.is_safe()
--- a/sableford/store/shard_takeover.py
+++ b/sableford/store/shard_takeover.py
@@ -1,11 +1,16 @@
 """Takes shards over, hands them over, and compares stores that have returned. No I/O.
 
 The new owner of a shard asks all other live stores what they hold of it. It waits until enough complete
-disks have answered that no accepted message can be only on the missing ones, and then asks which of the
-messages have ended. The previous owner has acknowledged the view by then, starts nothing more, and reports
-the results of its deliveries in flight.
+disks have answered that no accepted message can be only on the missing ones, and then asks all of them which
+of the messages have ended. A store that comes into the view before the shards open is asked as well, and for
+messages that it brings all are asked again: a store that was away may bring some that have ended meanwhile.
+The previous owner has acknowledged the view by then, starts nothing more, and reports the results of its
+deliveries in flight.
 """
 
+from collections.abc import Collection
+from math import inf
+
 from sableford.control.view import View, ViewNumber, shard_of_ref
 from sableford.store.acceptance import REFUSED_MAYBE_KEPT, Acceptance
 from sableford.store.delivery_order import DeliveryOrder
@@ -26,10 +31,12 @@
 from sableford.store.protocol import FinalState, PulledMessage, PullResponse
 from sableford.store.queue_state import QueueState
 from sableford.store.replica_placement import ReplicaPlacement
-from sableford.store.takeover import Takeover
+from sableford.store.takeover import FinalStateQuestion, Takeover
 from sableford.store.worker_selection import WorkerSelector
 
 COMPARISON = 0  # round number of pulls that only compare
+# For the final states of messages pulled late, if the other stores suffice; a dead store's lease ends before.
+LATE_ANSWER_MS = 1500.0
 
 
 class ShardTakeover:
@@ -175,7 +182,7 @@
         if response is None:
             del takeover.asked[store]  # asked again with the next tick
             return
-        takeover.answered[store] = response.complete
+        takeover.pull_answered(store, response.complete)
         self._record_answer(store, takeover, response)
         self.check(now, takeover)
 
@@ -200,29 +207,57 @@
                 message.attempts = max(message.attempts, attempts)
 
     def check(self, now: float, takeover: Takeover) -> None:
-        """Asks for final states once enough stores have answered; opens the shards once those are known."""
+        """Asks for final states once enough stores have answered; opens the shards once all are known."""
         if not takeover.shards or not self._all_answered(takeover):
             return
-        if takeover.awaiting_final_states is None:
-            takeover.awaiting_final_states = self._ask_final_states(takeover)
-        if not takeover.awaiting_final_states:
+        self._end_overdue_questions(now, takeover)
+        if takeover.questions and not takeover.has_new_answers:
+            return
+        takeover.has_new_answers = False
+        self._ask_final_states(now, takeover)
+        if not takeover.questions:
             self.open(now, takeover)
 
+    def _end_overdue_questions(self, now: float, takeover: Takeover) -> None:
+        """Stops waiting for late answers if no final state can be only on the stores that do not answer."""
+        overdue = {store for store, question in takeover.questions.items() if now > question.until}
+        if not overdue or not self._placement.can_open(self._complete_stores(takeover) - overdue):
+            return
+        for store in overdue:
+            takeover.question_ended(store)
+        self._log_questions("final_states_unanswered", now, takeover, overdue)
+
+    def _log_questions(self, event: str, now: float, takeover: Takeover, stores: Collection[str]) -> None:
+        waited_ms = round(now - takeover.started_at)
+        fields = {"shards": sorted(takeover.shards), "stores": sorted(stores), "waited_ms": waited_ms}
+        self._state.emit(LogEvent(event, fields))
+
     def _all_answered(self, takeover: Takeover) -> bool:
-        complete = {name for name, is_complete in takeover.answered.items() if is_complete}
-        if self._state.complete:
-            complete.add(self._state.me)
         unanswered = self._state.other_stores() - takeover.answered.keys()
-        return not unanswered and self._placement.can_open(complete)
+        return not unanswered and self._placement.can_open(self._complete_stores(takeover))
 
-    def _ask_final_states(self, takeover: Takeover) -> set[str]:
-        """Asks which messages have ended. Returns the stores that were asked."""
-        refs = sorted(ref for ref in self._refs_of(takeover) if ref not in self._state.final_states)
-        if not refs:
-            return set()
-        for name in sorted(takeover.answered):
-            self._state.emit(AskFinalStates(name, takeover.number, refs))
-        return set(takeover.answered)
+    def _complete_stores(self, takeover: Takeover) -> set[str]:
+        """Returns the stores that have answered, this one included, whose disks are complete."""
+        complete = {name for name, is_complete in takeover.answered.items() if is_complete}
+        return complete | ({self._state.me} if self._state.complete else set())
+
+    def _ask_final_states(self, now: float, takeover: Takeover) -> None:
+        """Asks each store that has answered a pull which messages have ended, unless it was asked before."""
+        refs = {ref for ref in self._refs_of(takeover) if ref not in self._state.final_states}
+        until = now + LATE_ANSWER_MS if takeover.has_asked else inf
+        asked = set()
+        for store in sorted(takeover.answered.keys() - takeover.questions.keys()):
+            if unasked := takeover.unasked(store, refs):
+                self._ask(takeover, store, unasked, until)
+                asked.add(store)
+        if asked and takeover.has_asked:
+            self._log_questions("final_states_asked_again", now, takeover, asked)
+        takeover.has_asked = True
+
+    def _ask(self, takeover: Takeover, store: str, refs: frozenset[str], until: float) -> None:
+        question = FinalStateQuestion(self._state.next_round(), refs, until)
+        takeover.questions[store] = question
+        self._state.emit(AskFinalStates(store, question.number, sorted(refs)))
 
     def _refs_of(self, takeover: Takeover) -> list[str]:
         messages = self._state.messages.values()
@@ -232,16 +267,16 @@
         self, now: float, store: str, number: int, known: dict[str, FinalState] | None
     ) -> None:
         """Handles the final states that were asked for; `known` is None if the store did not answer."""
-        takeover = self._takeover_of(number)
-        if takeover is None or store not in (takeover.awaiting_final_states or ()):
+        takeover = next((one for one in self.in_progress() if one.is_asking(store, number)), None)
+        if takeover is None:
             return
         if known is None:
-            self._state.emit(AskFinalStates(store, number, sorted(self._refs_of(takeover))))
+            _, refs, until = takeover.questions[store]
+            self._ask(takeover, store, refs, until)
             return
+        takeover.question_ended(store)
         for ref, final_state in known.items():
             self._final_states.learn(ref, final_state)
-        assert takeover.awaiting_final_states is not None, "final states were not requested"
-        takeover.awaiting_final_states.discard(store)
         self.check(now, takeover)
 
     def open(self, now: float, takeover: Takeover) -> None:
@@ -258,7 +293,13 @@
             self._order.join_key(message)
         waiting = sum(self._resume(now, message) for message in messages)
         self._replication.copy_waiting(now)
-        fields = {"shards": sorted(shards), "messages": len(messages), "waiting": waiting}
+        waited_ms = round(now - takeover.started_at)
+        fields = {
+            "shards": sorted(shards),
+            "messages": len(messages),
+            "waiting": waiting,
+            "waited_ms": waited_ms,
+        }
         state.emit(LogEvent("shards_open", fields))
         for shard in sorted(shards):
             self._acceptance.take_parked(now, shard)
--- a/tests/system_simulation.py
+++ b/tests/system_simulation.py
@@ -90,8 +90,7 @@
     """Serves a shard before the stores that may know of its messages have responded."""
 
     def check(self, now, takeover):
-        if takeover.awaiting_final_states is None and takeover.shards:
-            takeover.awaiting_final_states = set()
+        if takeover.shards:
             self.open(now, takeover)
 
 
