Lookups of retried puts ask stores that come into the view meanwhile

A put that is sent again is accepted as new only if enough stores answered that none of the missing ones alone can know the message. The lookup asked the stores live at its start, but counted every complete store live at its end: one that came into the view in between counted as having answered. Its message could run twice.

Now a store counts once it has answered in its present incarnation, and stores that come into the view are asked as well.

The test in tests/calls.py failed before.

--- a/sableford/store/acceptance.py
+++ b/sableford/store/acceptance.py
@@ -51,11 +51,17 @@
 
 
 class PutLookup:
-    """A query to the other stores whether they know a message, and the puts that wait for it."""
+    """A query to the other stores whether they know a message. Its puts wait for it, at most to `until`."""
 
-    def __init__(self, asked: set[str], until: float) -> None:
-        self.unanswered, self.until = asked, until
+    def __init__(self, until: float) -> None:
+        self.until = until
         self.puts: list[Put] = []
+        self.asked: dict[str, str] = {}  # incarnation of each store that was asked
+        self.answered: set[str] = set()
+
+    def unanswered(self) -> set[str]:
+        """Returns the stores that were asked and have not answered."""
+        return self.asked.keys() - self.answered
 
 
 class Acceptance:
@@ -196,21 +202,37 @@
     # Retried puts
 
     def _look_up(self, now: float, put: Put) -> None:
-        ref, others = put.request.ref, self._state.other_stores()
-        lookup = self._lookups.setdefault(ref, PutLookup(set(others), now + LOOKUP_MS))
+        ref = put.request.ref
+        lookup = self._lookups.setdefault(ref, PutLookup(now + LOOKUP_MS))
         lookup.puts.append(put)
-        for name in sorted(lookup.unanswered):
+        for name in sorted(lookup.unanswered()):
             self._state.emit(Lookup(name, ref))
+        self._ask_stores(ref, lookup)
+
+    def _ask_stores(self, ref: str, lookup: PutLookup) -> None:
+        """Asks the stores that have not been asked in their present incarnation."""
+        for name in sorted(self._state.other_stores()):
+            incarnation = self._state.incarnation_of(name)
+            if lookup.asked.get(name) != incarnation:
+                lookup.asked[name] = incarnation
+                lookup.answered.discard(name)
+                self._state.emit(Lookup(name, ref))
+
+    def ask_new_stores(self) -> None:
+        """Asks stores that have come into the view about the messages under lookup."""
+        for ref, lookup in self._lookups.items():
+            self._ask_stores(ref, lookup)
 
     def lookup_answered(self, now: float, store: str, ref: str, final_state: FinalState | None) -> None:
         """Handles the answer of another store to a lookup."""
         lookup = self._lookups.get(ref)
         if lookup is None:
             return
-        lookup.unanswered.discard(store)
+        if store in lookup.asked:
+            lookup.answered.add(store)
         if final_state is not None:
             self._final_states.learn(ref, final_state)
-        if self._is_known(ref) or not lookup.unanswered:
+        if self._is_known(ref) or not lookup.unanswered():
             self._end_lookup(now, ref)
 
     def end_overdue_lookups(self, now: float) -> None:
@@ -230,7 +252,7 @@
         """
         lookup = self._lookups.pop(ref)
         is_known = self._is_known(ref)
-        answered = self._complete_stores() - lookup.unanswered
+        answered = self._complete_stores() & (lookup.answered | {self._state.me})
         for put in lookup.puts:
             if is_known or self._placement.can_open(answered):
                 self.put(now, put._replace(request=replace(put.request, is_retry=False)))
--- a/sableford/store/shard_takeover.py
+++ b/sableford/store/shard_takeover.py
@@ -73,6 +73,7 @@
             self._selector.forget_store(name)
         self._release_lost(assigned)
         self._begin_takeovers(now, assigned)
+        self._acceptance.ask_new_stores()
         self._forget_holders(now, gone)
         for takeover in self.in_progress():
             for name in gone:
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -9,7 +9,7 @@
 import msgspec
 import orjson
 
-from sableford.control.view import StoreInfo, View
+from sableford.control.view import SHARDS, StoreInfo, View
 from sableford.simulation.stores import DOC
 from sableford.store.delivery_order import LOOKUP_MS
 from sableford.store.effect_executor import CALL_TIMEOUT_MS, EffectExecutor
@@ -404,3 +404,27 @@
     unclear = PutResponse(refusal="owner", maybe_kept=True)
     assert put_again({"a": no}, incomplete="a") == [unclear]
     assert put_again({"a": no, "b": no}, incomplete="a") == ["taken"]
+
+
+def shows_a_store_that_comes_into_the_view_during_a_lookup_counts_only_once_it_has_answered() -> None:
+    # TWICE: b, which alone knows how the message ended, returned during the lookup and counted as asked.
+    queue = Queue("me", "m", 1, RoutingTable(1, DOC), WorkerSelector("z", "me"), 600.0, True)
+    names = ["a", "b", "c", "me"]
+    stores = {name: StoreInfo(name, "z") for name in names}
+    queue.state.owned, queue.state.lease = {0: (1, 1)}, 1e9
+    queue.state.complete = False  # after its own disk was lost, two of the other three must answer
+    queue.state.view = View((1, 1), ["me"] * SHARDS, ["m"] * SHARDS, [(1, 1)] * SHARDS, roster=names)
+    queue.state.view.live_stores = {name: stores[name] for name in ("a", "me")}
+    effects = queue.put(0.0, PUT, b"x", "edge")
+    effects += queue.lookup_answered(1.0, "a", PUT.ref, None)
+    later = View((1, 2), ["me"] * SHARDS, ["m"] * SHARDS, [(1, 1)] * SHARDS, roster=names)
+    later.live_stores = {name: stores[name] for name in ("a", "b", "c", "me")}
+    effects += queue.apply_view(2.0, later)
+    assert [one.to for one in effects if isinstance(one, Lookup)] == ["a", "b", "c"]
+    effects = queue.lookup_answered(3.0, "a", PUT.ref, LookupResponse())
+    assert not [
+        one for one in effects if isinstance(one, WriteMessage | RespondToPut)
+    ], "b was not waited for"
+    ended = LookupResponse(FinalState("complete", "s", "", 0.0))
+    effects = queue.lookup_answered(4.0, "b", PUT.ref, ended)
+    assert [one.response for one in effects if isinstance(one, RespondToPut)] == [PutResponse(kept=True)]
