A store that is emptied stays until its deliveries have ended

Cause: a store that is being emptied reported that all it holds is safe while its deliveries went on. The leader took it off the roster, the next view did not have it, and owners took a living sender for gone.

Evidence: on the untouched code all repeats came within 10 ms, 0.57 s after the order. With a log of what owners put back and of what a store outside the view has out (trial on a scratch copy), both named the same ten messages, in the ms in which the leader did without the store; its lease ran out 2.4 s later.

Change: such a store is safe only once its deliveries have ended and the owners have confirmed their results. A delivery ends at its deadline; a result that nobody has confirmed 5 s later is dropped, which is logged (result_unconfirmed). A dead store leaves the view as before, and its messages go out again at once, which is logged now (sender_gone).

Tests: tests/store_fences.py, three of which failed before.

--- a/sableford/simulation/stores/__init__.py
+++ b/sableford/simulation/stores/__init__.py
@@ -17,7 +17,7 @@
 from sableford.simulation.stores.effects import Effects
 from sableford.simulation.stores.faults import Faults
 from sableford.simulation.stores.leader import SimulatedLeader
-from sableford.simulation.stores.model import DOC, FAULTS, HistoryEvent, RuleViolation, SimulatedStore
+from sableford.simulation.stores.model import DOC, FAULTS, RUN_MS, HistoryEvent, RuleViolation, SimulatedStore
 from sableford.simulation.stores.store_lifecycle import StoreLifecycle
 from sableford.simulation.stores.traffic import Traffic
 from sableford.store.queue import Queue
@@ -30,7 +30,7 @@
     ended.
 
     `zone_letters` has one letter per store, which names its zone. `zones` is how many whole zones may be lost
-    at once.
+    at once. `run_ms`: the least and most that a worker takes for a message.
     """
 
     def __init__(
@@ -45,11 +45,12 @@
         delay_ms: float = 1500.0,
         zone_letters: str = "",
         zones: int = 0,
+        run_ms: tuple[float, float] = RUN_MS,
         doc: dict | None = None,
     ) -> None:
         self.rng, self.seed, self._queue_factory = Random(f"queue {seed}"), seed, queue_factory
         self.now, self._events, self._sequence = 0.0, [], itertools.count()
-        self.zones = zones
+        self.zones, self.run_ms = zones, run_ms
         names = [f"s{at}" for at in range(len(zone_letters) or stores)]
         self.stores = {
             name: SimulatedStore(name, f"z{zone_letters[at] if zone_letters else at}")
@@ -72,6 +73,8 @@
         self.keys: dict[str, str] = {}
         # A separate generator, so that status polls do not change which faults are drawn.
         self.status_rng = Random(f"questions {seed}")
+        # How long retired processes go on; they are not needed any more.
+        self.retirement_rng = Random(f"retirements {seed}")
         self.reported_final: set[str] = set()  # messages that a client was told have ended
         self.due_at: dict[str, float] = {}  # by the original reference: when its delay ends
         self.ended: dict[str, float] = {}
--- a/sableford/simulation/stores/leader.py
+++ b/sableford/simulation/stores/leader.py
@@ -7,7 +7,7 @@
 from sableford.control.timing import LEASE_MS, RENEW_MS
 from sableford.control.view import View
 from sableford.control.workers import Worker, WorkerTable
-from sableford.simulation.stores.model import SimulatedStore
+from sableford.simulation.stores.model import RETIRED_ENDS_MS, SimulatedStore
 from sableford.simulation.stores.network import Network
 from sableford.store.worker_selection import WorkerEntry
 
@@ -104,10 +104,11 @@
     def _change_roster(self, name: str, is_member: bool) -> None:
         coordinator = self.coordinator
         self.roster = sorted({*self.roster, name} if is_member else {*self.roster} - {name})
-        if not is_member and name in coordinator.retiring:  # emptied: it is removed at once, with its disk
+        if not is_member and name in coordinator.retiring:
             coordinator.retiring.discard(name)
             coordinator.retired.add(name)
-            self.end(name)
+            # Its machine is taken away, with its disk, once the operator has seen that it is emptied.
+            self.later(self.retirement_rng.uniform(*RETIRED_ENDS_MS), self.end, name)
         if self.leader_up:
             coordinator.roster_change_ended(name)
             self._coordinate(
--- a/sableford/simulation/stores/model.py
+++ b/sableford/simulation/stores/model.py
@@ -10,6 +10,8 @@
 DISK_SYNC_MS = (2.0, 6.0)  # ms of one commit
 DISK_READ_MS = (1.0, 4.0)  # ms to read the body of a message
 LINK_DELAY_MS = (0.2, 1.2)  # ms, in one direction
+RUN_MS = (10.0, 120.0)  # ms that a worker takes for a message
+RETIRED_ENDS_MS = (0.0, 2000.0)  # ms from the end of a retirement until its process is ended
 MAX_ATTEMPTS = 3  # failures after which a message is a dead letter
 # Rule BUDGET: failed runs of a message, even if owners did not know of earlier ones.
 MAX_FAILURES = 3 * MAX_ATTEMPTS
--- a/sableford/simulation/stores/traffic.py
+++ b/sableford/simulation/stores/traffic.py
@@ -80,7 +80,7 @@
         self, store: SimulatedStore, incarnation: str, ref: str, worker: str, until: float
     ) -> None:
         self._check_start(ref, store.name)
-        after = self.rng.uniform(10.0, 120.0)
+        after = self.rng.uniform(*self.run_ms)
         always_fails = ref.endswith("7p")
         succeeds = not always_fails and self.rng.random() > 0.05
         self.later(
--- a/sableford/store/delivery_order.py
+++ b/sableford/store/delivery_order.py
@@ -12,7 +12,7 @@
 
 from sableford.store.messages import Deliver, Lookup, Message, State
 from sableford.store.protocol import FinalState, Position
-from sableford.store.queue_state import DEAD_LETTER, QueueState
+from sableford.store.queue_state import DEAD_LETTER, InFlightDelivery, QueueState
 from sableford.store.rate_limits import RateLimits
 from sableford.store.worker_selection import WorkerSelector
 from sableford.transport.routes import Route
@@ -179,9 +179,9 @@
                     break
                 self._pop(backend)
                 message.state = State.IN_FLIGHT
-                state.in_flight[message.ref] = message.shard
-                self._selector.delivery_started(worker)
                 until = now + self._deadline_ms(message)
+                state.in_flight[message.ref] = InFlightDelivery(message.shard, until)
+                self._selector.delivery_started(worker)
                 state.emit(Deliver(message.ref, worker.entry.id, until))
 
     def may_send(self, now: float, ref: str, worker: str) -> bool:
--- a/sableford/store/delivery_results.py
+++ b/sableford/store/delivery_results.py
@@ -7,7 +7,7 @@
 from sableford.store.delivery_order import DeliveryOrder
 from sableford.store.final_state_replication import FinalStateReplication
 from sableford.store.message_finalization import MessageFinalization
-from sableford.store.messages import Message, SendDeliveryResult, State
+from sableford.store.messages import LogEvent, Message, SendDeliveryResult, State
 from sableford.store.protocol import FinalState
 from sableford.store.queue_state import COMPLETE, DEAD_LETTER, QueueState
 from sableford.store.worker_selection import WorkerSelector
@@ -17,6 +17,9 @@
 MAX_NOT_RUN_BACKOFF_MS = 400.0
 FAILED_BACKOFF_MS = 20.0  # backoff after an attempt that failed; doubles with each
 REPORT_RETRY_MS = 80.0  # until an unconfirmed result is reported to the owner again
+# From the deadline of a delivery until its owner must have confirmed the result: longer than a shard takes to
+# change owners and the new owner waits.
+CONFIRMATION_MS = 5000.0
 FINAL_EXECUTIONS = (Execution.DONE, Execution.IMPOSSIBLE)
 
 
@@ -40,14 +43,14 @@
         """Handles the end of a delivery that was sent from here."""
         state = self._state
         self._record_worker_outcome(now, worker, verdict)
-        shard = state.in_flight.pop(ref, None)
+        delivery = state.in_flight.pop(ref, None)
         message = state.messages.get(ref)
         if message is not None and message.state is State.IN_FLIGHT and state.owns(message):
             message.avoided_worker = "" if verdict.execution is Execution.DONE else worker
             self._apply(now, message, verdict)
-        elif shard is not None:
+        elif delivery is not None:
             self._unreported[ref] = verdict
-            state.in_flight[ref] = shard  # until the owner has confirmed it
+            state.in_flight[ref] = delivery  # until the owner has confirmed it
             if (
                 verdict.execution in FINAL_EXECUTIONS
                 and message is not None
@@ -96,7 +99,7 @@
         state = self._state
         self._reported_at = now
         for ref, verdict in list(self._unreported.items()):
-            shard = state.in_flight.get(ref, 0)
+            shard = state.in_flight[ref].shard
             owner = state.view.owners[shard]
             if owner and owner != state.me:
                 state.emit(SendDeliveryResult(owner, ref, shard, verdict))
@@ -114,6 +117,15 @@
         if self._unreported.pop(ref, None) is not None:
             self._state.in_flight.pop(ref, None)
 
+    def drop_unconfirmed(self, now: float) -> None:
+        """Drops results that no owner has confirmed although their deliveries ended long ago."""
+        state = self._state
+        for ref, delivery in list(state.in_flight.items()):
+            if now - delivery.until > CONFIRMATION_MS:
+                self.reported(ref)
+                state.in_flight.pop(ref, None)
+                state.emit(LogEvent("result_unconfirmed", {"ref": ref, "shard": delivery.shard}))
+
     def accepts(self, shard: int) -> bool:
         """Whether results of the previous owner's deliveries in this shard are for this store."""
         return shard in self._state.owned or self._state.is_being_taken_over(shard)
--- a/sableford/store/queue.py
+++ b/sableford/store/queue.py
@@ -128,6 +128,8 @@
     def repair(self, now: float) -> list[Effect]:
         """Resumes what was not replicated or reported. Called from time to time."""
         self._results.report(now)
+        if self._is_retiring():
+            self._results.drop_unconfirmed(now)
         self._takeover.compare_again()
         for message in self.state.messages.values():
             if self._lacks_replicas(message):
@@ -360,11 +362,15 @@
         return bool(state.owned or state.takeovers or state.in_flight or state.ending)
 
     def is_safe(self) -> bool:
-        """Whether all messages and final states of the owned shards are durable under the view in force."""
+        """Whether all messages and final states of the owned shards are durable under the view in force.
+
+        If this store is being emptied, all work that was begun here must have ended as well.
+        """
         state = self.state
-        own = state.view.live_stores.get(state.me)
-        is_retiring = own is not None and own.retiring
-        if state.takeovers or (is_retiring and state.ending) or not self._final_states.is_safe():
+        if state.takeovers or not self._final_states.is_safe():
+            return False
+        # A store that is being emptied is removed once it is safe, and then no store waits for its results.
+        if self._is_retiring() and (state.ending or state.in_flight):
             return False
         return not any(
             state.owns(message)
@@ -373,6 +379,10 @@
             for message in state.messages.values()
         )
 
+    def _is_retiring(self) -> bool:
+        own = self.state.view.live_stores.get(self.state.me)
+        return own is not None and own.retiring
+
     def counts_on_leaving(self) -> bool:
         """Whether durability may depend on replicas on stores that are leaving."""
         return self._placement.counts_on_leaving()
--- a/sableford/store/queue_state.py
+++ b/sableford/store/queue_state.py
@@ -11,6 +11,7 @@
 """
 
 from itertools import count
+from typing import NamedTuple
 
 from sableford.control.view import View, ViewNumber
 from sableford.store.messages import Effect, Message
@@ -21,6 +22,13 @@
 PENDING, COMPLETE, DEAD_LETTER = "pending", "complete", "dead_letter"  # phases, as clients read them
 
 
+class InFlightDelivery(NamedTuple):
+    """A delivery that was sent from here; `until` is its deadline."""
+
+    shard: int
+    until: float
+
+
 class QueueState:
     """`complete`: the local disk still holds all that it ever confirmed. Times are ms of the monotonic clock,
     except `unix`."""
@@ -40,7 +48,7 @@
         self.unsynced_final_states: set[str] = set()  # refs whose final state is not on the local disk
         self.owned: dict[int, ViewNumber] = {}  # shards that are served here, with the epoch since when
         self.takeovers: dict[int, Takeover] = {}  # in progress, by shard
-        self.in_flight: dict[str, int] = {}  # deliveries sent from here, with their shards
+        self.in_flight: dict[str, InFlightDelivery] = {}  # sent from here, until the owner knows the result
         self._rounds, self._positions = count(1), count(1)
         self._effects: list[Effect] = []
 
--- a/sableford/store/shard_takeover.py
+++ b/sableford/store/shard_takeover.py
@@ -8,6 +8,7 @@
 deliveries in flight.
 """
 
+from collections import Counter
 from collections.abc import Collection
 from math import inf
 
@@ -136,14 +137,18 @@
             state.takeovers[shard] = takeover
 
     def _forget_holders(self, now: float, gone: set[str]) -> None:
+        requeued: Counter[str] = Counter()
         for message in self._state.messages.values():
             message.final_state_holders -= gone
             if not self._state.owns(message):
                 continue
             message.holders -= gone
-            sender_is_gone = message.sender not in self._state.view.live_stores
-            if message.state is State.IN_FLIGHT_ELSEWHERE and sender_is_gone:
+            sender = message.sender
+            if message.state is State.IN_FLIGHT_ELSEWHERE and sender not in self._state.view.live_stores:
+                requeued[sender] += 1
                 self._order.requeue(now, message, 0.0)
+        for sender, messages in requeued.items():
+            self._state.emit(LogEvent("sender_gone", {"store": sender, "requeued": messages}))
 
     # Asking what other stores hold
 
--- a/tests/store_fences.py
+++ b/tests/store_fences.py
@@ -4,12 +4,14 @@
 
 from sableford.control.view import SHARDS, StoreInfo, View
 from sableford.simulation.stores import DOC, RuleViolation, Simulation
-from sableford.store.messages import Deliver, DropReplica, Effect, Pull, State
+from sableford.store.delivery_results import CONFIRMATION_MS
+from sableford.store.messages import Deliver, DropReplica, Effect, LogEvent, Pull, State
 from sableford.store.protocol import MessageState, PullResponse, PutRequest
 from sableford.store.queue import Queue
 from sableford.store.worker_selection import WorkerEntry, WorkerSelector
 from sableford.transport.routes import RoutingTable
 from sableford.transport.verdict import Execution, Verdict
+from tests.store_losses import first_fault
 
 PUT = PutRequest(
     ref="00-a",
@@ -75,6 +77,62 @@
     assert not queue.accepts_results(0)
 
 
+def emptied_with_delivery_in_flight() -> Queue:
+    """Returns the queue of s0, which is being emptied and has a delivery in flight; s1 owns its shard."""
+    queue = queue_with_delivery_in_flight()
+    retiring = view(2, "s1")
+    retiring.live_stores["s0"].retiring = True
+    queue.apply_view(10.0, retiring)
+    return queue
+
+
+def shows_a_store_that_is_emptied_is_not_safe_before_its_deliveries_have_ended_and_are_known() -> None:
+    # TWICE: it was removed while its deliveries went on, and owners, taking it for gone, sent them again.
+    queue = emptied_with_delivery_in_flight()
+    assert not queue.is_safe()
+    queue.delivered(900.0, "00-a", "w", Verdict(Execution.FAILED, "failed"))
+    assert not queue.is_safe(), "the owner does not know the result"
+    queue.result_reported("00-a")
+    assert queue.is_safe()
+
+
+def shows_a_store_that_is_emptied_waits_for_an_owner_s_confirmation_only_so_long() -> None:
+    # Stalled retirement: an owner that never confirms a result would keep the store from being removed.
+    queue = emptied_with_delivery_in_flight()
+    deadline = queue.state.in_flight["00-a"].until
+    queue.delivered(900.0, "00-a", "w", Verdict(Execution.FAILED, "failed"))
+    queue.repair(deadline + CONFIRMATION_MS)
+    assert not queue.is_safe()
+    effects = queue.repair(deadline + CONFIRMATION_MS + 1.0)
+    assert [one.event for one in effects if isinstance(one, LogEvent)] == ["result_unconfirmed"]
+    assert queue.is_safe() and not queue.is_busy()
+
+
+class RetiresWithDeliveries(Queue):
+    """Reports that all it holds is safe while its deliveries go on."""
+
+    def is_safe(self):
+        in_flight, self.state.in_flight = self.state.in_flight, {}
+        try:
+            return super().is_safe()
+        finally:
+            self.state.in_flight = in_flight
+
+
+# Runs that outlast a retirement, at workers that are nearly full: a second delivery waits for a place.
+EMPTIED = {"faults": 4, "kinds": ("retire",), "stores": 7, "seconds": 14.0}
+EMPTIED |= {"messages_per_s": 12.0, "run_ms": (300.0, 900.0)}
+
+
+def shows_stores_that_are_emptied_under_long_runs_run_nothing_twice() -> None:
+    assert first_fault(Queue, range(10), **EMPTIED) == ("", -1)
+
+
+def shows_the_simulation_detects_a_store_that_is_emptied_and_removed_with_deliveries_in_flight() -> None:
+    rule, _ = first_fault(RetiresWithDeliveries, range(30), **EMPTIED)
+    assert rule in ("TWICE", "ORDER"), rule
+
+
 def shows_a_store_without_a_lease_lets_no_store_drop_a_replica() -> None:
     queue = queue_with_delivery_in_flight()
     compared = PullResponse(True, ["00-unknown"], [], {})
