Edge queries count answers by the roster that was asked

Not seen at a client: found by reading, after the takeovers' fault. An edge answers 404 once so many stores do not know a message that one of them would. That number was computed after the answers. With a store that answered and was then taken off the roster, one answer fewer sufficed, though its own counted: a message held by two silent stores was answered 404.

The number is computed before the stores are asked, for states and for bodies.

tests/edge_queries.py failed before.

--- a/sableford/edge/message_queries.py
+++ b/sableford/edge/message_queries.py
@@ -81,14 +81,15 @@
     async def _query_state(self, shard: int, ref: str) -> StatusResponse | None:
         """The response of the owner or, if that is not conclusive, the result of all stores' responses."""
         owner, *others = self._stores_to_ask(shard)
+        sufficient = self._sufficient_count()  # of the stores that are asked; the roster may change meanwhile
         from_owner = await self._query_store(owner, ref)
         responses = [] if from_owner is None else [from_owner]
         owner_response = from_owner.response if from_owner is not None else None
-        if (found := conclusive_response(responses, owner_response, self._sufficient_count())) is not None:
+        if (found := conclusive_response(responses, owner_response, sufficient)) is not None:
             return found
         other_responses = await asyncio.gather(*(self._query_store(name, ref) for name in others))
         responses += [one for one in other_responses if one is not None]
-        return conclusive_response(responses, owner_response, self._sufficient_count())
+        return conclusive_response(responses, owner_response, sufficient)
 
     async def _query_store(self, name: str, ref: str) -> StoreResponse | None:
         """None if the store did not answer, or answered for another message."""
@@ -113,6 +114,7 @@
             return NO_MESSAGE
         while self._runtime.now() < until:
             changed, missing_count = self._member.changed, 0
+            sufficient = self._sufficient_count()
             for name in self._stores_to_ask(shard):
                 link = self._links.responsive_link(name)
                 if link is None:
@@ -123,7 +125,7 @@
                 if result.message.found:
                     return HttpResponse(200, result.body, content_type="application/octet-stream")
                 missing_count += self._is_complete(name, link)
-            if missing_count >= max(1, self._sufficient_count()):
+            if missing_count >= max(1, sufficient):
                 return NO_MESSAGE
             await wait_for_event(changed, RETRY_MS)
         return refused("its store can't be asked now")
