Stores: comparisons of replicas move to a module of their own

shard_takeover.py had two jobs and had grown to 392 lines: takeovers, and comparing stores that have returned. The second is replica_comparison.py now, with its table of actions.

--- a/sableford/store/queue.py
+++ b/sableford/store/queue.py
@@ -39,6 +39,7 @@
 )
 from sableford.store.queue_state import QueueState
 from sableford.store.rate_limits import RateLimits
+from sableford.store.replica_comparison import ReplicaComparison
 from sableford.store.replica_placement import ReplicaPlacement
 from sableford.store.shard_takeover import ShardTakeover
 from sableford.store.worker_selection import WorkerSelector
@@ -102,8 +103,9 @@
         self._finalization = finalization = parts.finalization(state, placement, order, final_states)
         self._acceptance = acceptance = Acceptance(state, placement, order, replication, final_states)
         self._results = parts.results(state, selector, order, finalization, final_states)
+        self._comparison = comparison = ReplicaComparison(state, acceptance)
         self._takeover = parts.takeover(
-            state, placement, selector, order, replication, final_states, finalization, acceptance
+            state, placement, selector, order, replication, final_states, finalization, acceptance, comparison
         )
         order.finish = finalization.finish
         final_states.on_learned = finalization.learned
@@ -130,7 +132,7 @@
         self._results.report(now)
         if self._is_retiring():
             self._results.drop_unconfirmed(now)
-        self._takeover.compare_again()
+        self._comparison.compare_again()
         for message in self.state.messages.values():
             if self._lacks_replicas(message):
                 self._replication.copy_later(message)
@@ -389,4 +391,4 @@
 
     def audits(self) -> dict[str, str]:
         """Returns the incarnations of the stores that were compared with all shards owned here."""
-        return self._takeover.audits()
+        return self._comparison.audits()
--- a/sableford/store/shard_takeover.py
+++ b/sableford/store/shard_takeover.py
@@ -1,4 +1,4 @@
-"""Takes shards over, hands them over, and compares stores that have returned. No I/O.
+"""Takes shards over and hands them over. No I/O.
 
 The new owner of a shard asks all other live stores what they hold of it. It waits until enough complete
 disks have answered that no accepted message can be only on the missing ones, and then asks all of them which
@@ -12,7 +12,7 @@
 from collections.abc import Collection
 from math import inf
 
-from sableford.control.view import View, ViewNumber, shard_of_ref
+from sableford.control.view import View, ViewNumber
 from sableford.store.acceptance import REFUSED_MAYBE_KEPT, Acceptance
 from sableford.store.delivery_order import DeliveryOrder
 from sableford.store.final_state_replication import FinalStateReplication
@@ -20,8 +20,6 @@
 from sableford.store.message_replication import MessageReplication
 from sableford.store.messages import (
     AskFinalStates,
-    CopyFinalState,
-    DropReplica,
     LogEvent,
     Message,
     Pull,
@@ -31,11 +29,11 @@
 )
 from sableford.store.protocol import FinalState, PulledMessage, PullResponse
 from sableford.store.queue_state import QueueState
+from sableford.store.replica_comparison import COMPARISON, ReplicaComparison
 from sableford.store.replica_placement import ReplicaPlacement
 from sableford.store.takeover import FinalStateQuestion, Takeover
 from sableford.store.worker_selection import WorkerSelector
 
-COMPARISON = 0  # round number of pulls that only compare
 # For the final states of messages pulled late, if the other stores suffice; a dead store's lease ends before.
 LATE_ANSWER_MS = 1500.0
 
@@ -53,13 +51,13 @@
         final_states: FinalStateReplication,
         finalization: MessageFinalization,
         acceptance: Acceptance,
+        comparison: ReplicaComparison,
     ) -> None:
         self._state, self._placement, self._selector, self._order = state, placement, selector, order
         self._replication, self._final_states = replication, final_states
         self._finalization, self._acceptance = finalization, acceptance
+        self._comparison = comparison
         self._seen: dict[str, str] = {}  # incarnation of each store in the last view
-        self._comparing: dict[str, dict[int, ViewNumber]] = {}  # comparisons in progress: shards by store
-        self._compared: dict[str, tuple[str, set[int]]] = {}  # by store: incarnation and shards
 
     def apply_view(self, now: float, view: View) -> None:
         """Applies a newer view."""
@@ -81,7 +79,7 @@
                 takeover.forget(name)
             self.ask(now, takeover)
         for name in sorted(new & state.other_stores()):
-            self.compare(name)
+            self._comparison.compare(name)
         self._final_states.observe_absent(now, view)
         for message in list(state.messages.values()):
             is_here = state.owns(message) and message.state is not State.ENDING
@@ -181,7 +179,7 @@
         takeover = self._takeover_of(number)
         if takeover is None:
             if number == COMPARISON:
-                self._compared_with(now, store, response)
+                self._comparison.answered(now, store, response)
             return
         if store not in takeover.asked:
             return
@@ -293,7 +291,7 @@
             state.takeovers.pop(shard, None)
         self._final_states.adopt(shards)
         for name in takeover.answered:
-            self._record_compared(name, shards)
+            self._comparison.record(name, shards)
         messages = [message for message in state.messages.values() if message.shard in shards]
         for message in messages:
             self._order.join_key(message)
@@ -328,65 +326,3 @@
             message.sender, message.state = "", State.WAITING
             self._order.enqueue(now, message)
         return True
-
-    # Comparing stores that have returned
-
-    def compare_again(self) -> None:
-        """Starts comparisons with the stores that were not compared with all shards owned here."""
-        for name in sorted(self._state.other_stores()):
-            incarnation, shards = self._compared.get(name, ("", set()))
-            is_same = incarnation == self._state.incarnation_of(name)
-            if not is_same or not self._state.owned.keys() <= shards:
-                self.compare(name)
-
-    def compare(self, name: str) -> None:
-        """Asks a store what it holds of the owned shards."""
-        shards = sorted(self._state.owned)
-        if shards and name not in self._comparing:
-            self._comparing[name] = {shard: self._state.owned[shard] for shard in shards}
-            self._state.emit(Pull(name, COMPARISON, shards, [], False))
-
-    def _compared_with(self, now: float, store: str, response: PullResponse | None) -> None:
-        asked = self._comparing.pop(store, {})
-        if response is None or store not in self._state.view.live_stores:
-            return
-        # If a shard has changed its owner since the request, unknown messages in it may be the new owner's.
-        still_owned = {shard for shard, epoch in asked.items() if self._state.owned.get(shard) == epoch}
-        for ref in sorted(response.refs):
-            shard = shard_of_ref(ref)
-            if shard is not None and shard in still_owned:
-                self._compare_message(now, store, ref, shard)
-        self._record_compared(store, still_owned)
-
-    def _compare_message(self, now: float, store: str, ref: str, shard: int) -> None:
-        """Compares a message that another store holds with what is known here."""
-        state = self._state
-        message = state.messages.get(ref)
-        if ref in state.final_states:
-            state.emit(CopyFinalState(store, ref, shard, state.final_states[ref]))
-        elif message is not None and state.owns(message):
-            message.holders.add(store)
-            self._acceptance.check(now, message)
-        elif message is None and state.holds_lease(now):  # else another owner may have accepted it
-            state.emit(DropReplica(store, ref, state.owned[shard]))
-
-    def _record_compared(self, store: str, shards: set[int]) -> None:
-        if store not in self._state.view.live_stores:
-            return
-        present = self._state.incarnation_of(store)
-        incarnation, known = self._compared.get(store, ("", set()))
-        self._compared[store] = (present, (known if incarnation == present else set()) | shards)
-
-    def audits(self) -> dict[str, str]:
-        """Returns the incarnations of the stores that were compared with all shards owned here.
-
-        Valid as a report only while everything owned is durable.
-        """
-        stores = self._state.view.live_stores
-        return {
-            name: incarnation
-            for name, (incarnation, shards) in self._compared.items()
-            if name in stores
-            and stores[name].incarnation == incarnation
-            and self._state.owned.keys() <= shards
-        }
--- a/tests/store_fences.py
+++ b/tests/store_fences.py
@@ -141,7 +141,7 @@
     pulls = [one for one in queue.apply_view(10.0, back) if isinstance(one, Pull)]
     again = queue.pull_answered(20.0, "s1", pulls[0].round, compared)
     assert [effect.ref for effect in again if isinstance(effect, DropReplica)] == ["00-unknown"]
-    queue._takeover.compare("s1")
+    queue._comparison.compare("s1")
     queue.state.lease = 100.0
     late = queue.pull_answered(2000.0, "s1", 0, compared)
     assert not [effect for effect in late if isinstance(effect, DropReplica)]
