A log event for backends whose messages wait with nothing in flight

Change: `backend_stalled` once a store has had messages waiting and nothing in flight at a backend for 3 s, with what the choice of each worker depends on; `backend_resumed` when that is over.

--- a/sableford/store/delivery_order.py
+++ b/sableford/store/delivery_order.py
@@ -184,6 +184,14 @@
                 self._selector.delivery_started(worker)
                 state.emit(Deliver(message.ref, worker.entry.id, until))
 
+    def waiting_by_backend(self, now: float) -> dict[str, int]:
+        """Returns how many messages wait for a worker, by backend, for those where one may start now."""
+        return {
+            backend: len(self._ready[backend]) + len(self._overdue[backend])
+            for backend in list(self._ready)
+            if self._next(now, backend) is not None
+        }
+
     def may_send(self, now: float, ref: str, worker: str) -> bool:
         """Whether a delivery may still be sent, now that the body is read and the connection is open.
 
--- a/sableford/store/queue.py
+++ b/sableford/store/queue.py
@@ -42,6 +42,7 @@
 from sableford.store.replica_comparison import ReplicaComparison
 from sableford.store.replica_placement import ReplicaPlacement
 from sableford.store.shard_takeover import ShardTakeover
+from sableford.store.stalled_backends import StalledBackends
 from sableford.store.worker_selection import WorkerSelector
 from sableford.transport.routes import RoutingTable
 from sableford.transport.verdict import Verdict
@@ -107,6 +108,7 @@
         self._takeover = parts.takeover(
             state, placement, selector, order, replication, final_states, finalization, acceptance, comparison
         )
+        self._stalled_backends = StalledBackends(state, selector, order)
         order.finish = finalization.finish
         final_states.on_learned = finalization.learned
 
@@ -138,6 +140,7 @@
                 self._replication.copy_later(message)
         self._replication.copy_waiting(now)
         self._final_states.retry_under_replicated()
+        self._stalled_backends.check(now)
         return self.state.take_effects()
 
     def _lacks_replicas(self, message: Message) -> bool:
--- a/sableford/store/worker_selection.py
+++ b/sableford/store/worker_selection.py
@@ -6,6 +6,7 @@
 `docs/design.md` lists where this departs from the published algorithm, and under which conditions.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from sableford.policy.local_bound import AGE_LIMIT, IMBALANCE, UNCERTAINTY, hash32, pick_within, violations
@@ -141,8 +142,16 @@
     def slots(self, backend: str) -> int:
         return sum(one.entry.capacity for one in self._ready_by_backend.get(backend, ()))
 
+    def ready_workers(self, backend: str) -> Sequence[Worker]:
+        """Returns the workers of a backend that take deliveries."""
+        return self._ready_by_backend.get(backend, ())
+
     # Counts
 
+    def own_in_flight(self, backend: str) -> int:
+        """Returns how many deliveries of this store are in flight at the workers of a backend."""
+        return sum(one.own_in_flight for one in self.ready_workers(backend))
+
     def update_reported_counts(self, now: float, store: str, counts: dict[str, int]) -> None:
         """Records how many deliveries another store has in flight, by worker."""
         for id, count in counts.items():
