Confirmations count only from the incarnation that the view shows

Calls compared the incarnations that the view showed at the request and at the response, both "" where a store had left while the body was read, and neither that of the process that answers.

Change: a response counts only if the link's incarnation is the one that the view shows as it arrives; the queue takes confirmations from live stores only. The simulated stores do the same.

The test of calls introduces its link now, as every real link does.

--- a/sableford/simulation/stores/network.py
+++ b/sableford/simulation/stores/network.py
@@ -50,12 +50,11 @@
     def _request(self, sender: str, to: str, handle: Callable, on_answer: Callable) -> None:
         """Sends a request. `on_answer` gets the answer at the sender, or None after a time-out."""
         incarnation, finished = self.stores[sender].incarnation, []
-        peer_incarnation = self.stores[sender].queue.state.incarnation_of(to)
+        peer_incarnation = self.stores[to].incarnation
 
         def arrived(answer: Any) -> None:
-            on_answer(
-                answer if self.stores[sender].queue.state.incarnation_of(to) == peer_incarnation else None
-            )
+            is_present = self.stores[sender].queue.state.incarnation_of(to) == peer_incarnation
+            on_answer(answer if is_present else None)
 
         def finish(answer: Any) -> None:
             if not finished and self._is_running(sender, incarnation):
--- a/sableford/store/effect_executor.py
+++ b/sableford/store/effect_executor.py
@@ -135,20 +135,23 @@
         then: Callable[[ResponseType | None], None],
         body: bytes = b"",
     ) -> None:
-        """Calls a store. `then` is called with the response, or with None if there is none in time."""
+        """Calls a store. `then` is called with the response, or with None if there is none in time.
+
+        A response counts only from the incarnation that the view shows as it arrives: the disk of another one
+        may have been lost in between, and a store outside the view may be replaced before it is back.
+        """
         link = self._links.link(to)
         if link is None:
             self._loop.call_later(NO_LINK_RETRY_MS / 1000.0, then, None)
             return
-        future, incarnation = link.request(request, body), self._queue.state.incarnation_of(to)
+        future = link.request(request, body)
         timer = self._loop.call_later(CALL_TIMEOUT_MS / 1000.0, future.cancel)
 
         def on_done(done: "asyncio.Future[Response[ResponseType]]") -> None:
             timer.cancel()
             failed = done.cancelled() or isinstance(done.exception(), CallError)
-            # The answer of a previous incarnation does not hold for the present one.
-            is_same = self._queue.state.incarnation_of(to) == incarnation
-            then(None if failed or not is_same else done.result().message)
+            is_present = self._queue.state.incarnation_of(to) == link.incarnation
+            then(None if failed or not is_present else done.result().message)
 
         future.add_done_callback(on_done)
 
--- a/sableford/store/final_state_replication.py
+++ b/sableford/store/final_state_replication.py
@@ -318,7 +318,7 @@
     def copied(self, now: float, store: str, refs: list[str], accepted: bool) -> None:
         """Handles the response of a store to a batch."""
         self._copying.discard(store)
-        if not accepted:
+        if not accepted or not self._state.is_live(store):
             self._refused_at[store] = now
             return
         for ref in refs:
--- a/sableford/store/message_finalization.py
+++ b/sableford/store/message_finalization.py
@@ -72,6 +72,8 @@
 
     def copied(self, now: float, ref: str, store: str) -> None:
         """Handles that another store has the final state on its disk."""
+        if not self._state.is_live(store):
+            return
         message = self._state.messages.get(ref)
         if message is not None and message.state is State.ENDING:
             message.final_state_holders.add(store)
--- a/sableford/store/message_replication.py
+++ b/sableford/store/message_replication.py
@@ -62,6 +62,7 @@
         self._in_progress.pop(ref, None)
         if message is None or not self._state.owns(message):
             return False
+        accepted = accepted and self._state.is_live(store)
         if accepted:
             message.holders.add(store)
         elif message.state is not State.ENDING:
--- a/sableford/store/queue_state.py
+++ b/sableford/store/queue_state.py
@@ -89,11 +89,13 @@
         """Returns the live stores except this one."""
         return self.view.live_stores.keys() - {self.me}
 
-    def incarnation_of(self, store: str) -> str:
-        """Returns the incarnation of a store in the view, or "".
+    def is_live(self, store: str) -> bool:
+        """Whether the view shows the store. What another one confirms is discarded: it is gone, and by the
+        time that its successor comes into the view its disk may have been replaced."""
+        return store in self.view.live_stores
 
-        Answers of previous incarnations do not hold for it: the disk may have been lost in between.
-        """
+    def incarnation_of(self, store: str) -> str:
+        """Returns the incarnation of a store in the view, or ""."""
         info = self.view.live_stores.get(store)
         return info.incarnation if info is not None else ""
 
--- a/tests/calls.py
+++ b/tests/calls.py
@@ -184,6 +184,7 @@
 
     async def scene(loop) -> None:
         link, transport = link_of()
+        link.identify("a", "b1")
         queue = SimpleNamespace(state=SimpleNamespace(incarnation_of=lambda name: "b1"))
         links = SimpleNamespace(link=lambda name: link)
         executor = EffectExecutor(queue, None, None, None, links, None, None, None)
--- /dev/null
+++ b/tests/earlier_incarnations.py
@@ -0,0 +1,95 @@
+"""What a store takes from processes outside its view: earlier incarnations, whose disks may be lost."""
+
+import asyncio
+from types import SimpleNamespace
+
+from sableford.control.view import SHARDS, StoreInfo, View
+from sableford.simulation.stores import DOC
+from sableford.store.effect_executor import EffectExecutor
+from sableford.store.messages import CopyFinalState, CopyMessage, Effect
+from sableford.store.protocol import Confirmation, DeliveryResultRequest, PutRequest
+from sableford.store.queue import Queue
+from sableford.store.worker_selection import WorkerEntry, WorkerSelector
+from sableford.transport.routes import RoutingTable
+from sableford.transport.verdict import Execution, Verdict
+from tests.calls import frame, link_of, sent_by
+from tests.memory_network import simulated
+
+PUT = PutRequest(
+    ref="00-a",
+    shard=0,
+    key="",
+    id="a",
+    host="h",
+    target="/b",
+    method="POST",
+    delay_ms=0.0,
+    age_ms=0.0,
+    revision=1,
+)
+RESULT = DeliveryResultRequest("00-a", 0, "done", "", "seal", True)
+
+
+def view(count: int, owner: str = "s0", **incarnations: str) -> View:
+    """Returns a view of these stores, one of which owns all shards since view 1."""
+    stores = {name: StoreInfo(incarnation, f"z{name}") for name, incarnation in incarnations.items()}
+    owners, births, epochs = [owner] * SHARDS, [incarnations[owner]] * SHARDS, [(1, 1)] * SHARDS
+    return View((1, count), owners, births, epochs, stores, roster=["s0", "s1", "s2"])
+
+
+def queue_with_message() -> Queue:
+    """Returns the queue of s0, which serves all shards, and has asked s1 to keep a replica of its message."""
+    queue = Queue("s0", "b0", 1, RoutingTable(1, DOC), WorkerSelector("z0", "s0"), 600.0, True)
+    queue.selector.put(0.0, WorkerEntry("w", "a", "10.0.0.9", 80, "z0", 2, True), 0.0)
+    queue.state.lease, queue.state.owned = 1e9, dict.fromkeys(range(SHARDS), (1, 1))
+    queue.apply_view(0.0, view(1, s0="b0", s1="b1"))
+    assert copies(queue.put(0.0, PUT, b"x", "edge")) == ["s1"]
+    queue.message_written(0.0, "00-a")
+    return queue
+
+
+def copies(effects: list[Effect]) -> list[str]:
+    """Returns the stores that are asked to keep a replica of the message, or its final state."""
+    return [one.to for one in effects if isinstance(one, CopyMessage | CopyFinalState)]
+
+
+def shows_a_response_counts_only_from_the_incarnation_that_the_view_shows() -> None:
+    # LOST: a copy that a store confirmed before its disk was replaced would count as one on the new disk.
+    async def scene(loop) -> None:
+        link, transport = link_of()
+        link.identify("s1", "b1")
+        shown = ["b1"]
+        state = SimpleNamespace(incarnation_of=lambda name: shown[-1])
+        links = SimpleNamespace(link=lambda name: link)
+        executor = EffectExecutor(SimpleNamespace(state=state), None, None, None, links, None, None, None)
+        got: list[Confirmation | None] = []
+        for at_call, at_response in (("b1", "b1"), ("b1", "b2"), ("", ""), ("b1", ""), ("b2", "b2")):
+            shown.append(at_call)
+            executor._call("s1", RESULT, got.append)
+            shown.append(at_response)
+            link.data_received(frame({"yes": True, "a": sent_by(transport)[-1]["q"]}))
+            await asyncio.sleep(0.001)
+        assert [one is not None for one in got] == [True, False, False, False, False]
+
+    simulated(scene)
+
+
+def shows_a_replica_confirmed_by_a_store_that_has_left_does_not_count_for_its_successor() -> None:
+    # LOST: the message was taken for one on two disks, though that of s1 was replaced meanwhile.
+    queue = queue_with_message()
+    queue.apply_view(10.0, view(2, s0="b0"))
+    queue.message_copied(11.0, "00-a", "s1", True)
+    effects = queue.apply_view(2000.0, view(3, s0="b0", s1="b2"))
+    assert copies(effects + queue.tick(2010.0, 0.0)) == ["s1"]
+
+
+def shows_a_final_state_confirmed_by_a_store_that_has_left_does_not_count_for_its_successor() -> None:
+    # LOST (no state): the same of the final state, after which the message is removed.
+    queue = queue_with_message()
+    queue.message_copied(1.0, "00-a", "s1", True)
+    queue.delivered(5.0, "00-a", "w", Verdict(Execution.DONE, "", "seal"))
+    queue.apply_view(10.0, view(2, s0="b0"))
+    queue.final_state_copied(11.0, "00-a", "s1", True)
+    queue.final_state_written(12.0, "00-a")
+    effects = queue.apply_view(2000.0, view(3, s0="b0", s1="b2"))
+    assert copies(effects) == ["s1"] and "00-a" in queue.state.messages
