Edges record a refusal for the owner that was asked

Cause (found by reading; seen at no caller): an edge recorded a refusal for the shard's owner in the view as the answer came. After a change of owner meanwhile the present one, which accepts, was skipped for 150 ms, and put down as reaching too few others.

Change: the group of shards that is asked is fixed as the put is sent; a refusal is recorded for its owner, and closes the shard only if it still belongs to that group.

--- a/sableford/edge/gateway.py
+++ b/sableford/edge/gateway.py
@@ -20,7 +20,7 @@
 from sableford.edge.put_progress import PutProgress, outcome_of
 from sableford.edge.responses import refused, unauthorized
 from sableford.edge.retry_wait import wait_for_event
-from sableford.edge.shard_availability import ShardAvailability
+from sableford.edge.shard_availability import ShardAvailability, ShardGroup
 from sableford.node.runtime import Runtime
 from sableford.store.protocol import ISOLATED, PutRequest
 from sableford.transport.http import ConnectionLimits, HttpRequest, HttpResponse
@@ -164,13 +164,14 @@
             link = self._link_for(put, progress)
             if link is not None:
                 put = replace(put, is_retry=progress.unclear, age_ms=self.runtime.now() - now)
+                asked = self._availability.group_of(put.shard)
                 timeout_ms = min(PUT_TIMEOUT_MS, max(MIN_PUT_TIMEOUT_MS, until - self.runtime.now()))
                 outcome, reason = outcome_of(await link.call(put, request.body, timeout_ms))
                 progress.add(outcome)
                 if progress.stored:
                     self._availability.accepted(put.shard)
                     return HttpResponse(202, b"", (("Message-Ref", put.ref),))
-                self._record_refusal(put, reason)
+                self._record_refusal(put.shard, asked, reason)
             may_become_clear = progress.unclear and self._any_store_responds()
             if self.runtime.now() >= (until if may_become_clear else hold_until):
                 break
@@ -199,11 +200,13 @@
             self._availability.unreachable(now, put.shard)
         return None if self._availability.is_skipped(now, put.shard) else link
 
-    def _record_refusal(self, put: PutRequest, reason: str) -> None:
+    def _record_refusal(self, shard: int, asked: ShardGroup, reason: str) -> None:
+        """Records that the owner that was asked has refused. It says nothing about an owner since."""
         now = self.runtime.now()
         if reason == ISOLATED:
-            self._isolated_until[self.member.view.owners[put.shard]] = now + ISOLATED_BACKOFF_MS
-        self._availability.refused(now, put.shard)
+            self._isolated_until[asked.owner] = now + ISOLATED_BACKOFF_MS
+        if self._availability.group_of(shard) == asked:
+            self._availability.refused(now, shard)
 
     def _may_open_soon(self, put: PutRequest) -> bool:
         """False if the message is bound to one shard and too few stores are left to open it."""
--- a/sableford/edge/shard_availability.py
+++ b/sableford/edge/shard_availability.py
@@ -56,6 +56,10 @@
             self._incarnations = incarnations
             self._closures.clear()
 
+    def group_of(self, shard: int) -> ShardGroup:
+        """The group of a shard under the present view. A put is an observation of the group at its start."""
+        return self._groups[shard]
+
     def refused(self, now: float, shard: int) -> None:
         """The owner of the shard refused a put."""
         self._closures[self._groups[shard]] = self._closure(now, shard)._replace(
--- a/tests/edge_gateway.py
+++ b/tests/edge_gateway.py
@@ -8,10 +8,11 @@
 
 from sableford.common.settings import RuleBounds
 from sableford.control.protocol import ConfigurationVersion
-from sableford.control.view import SHARDS, StoreInfo, View
+from sableford.control.view import SHARDS, StoreInfo, View, shard_of
 from sableford.edge import gateway
 from sableford.edge.gateway import Gateway
 from sableford.edge.put_progress import PutOutcome, PutProgress
+from sableford.edge.shard_availability import SKIP_MS
 from sableford.simulation.stores import DOC
 from sableford.transport.errors import CallError
 from sableford.transport.frames import Frame, read_envelope
@@ -173,6 +174,32 @@
         raise AssertionError(f"{faulty.__name__} was not detected")
 
 
+class MovingStore(ScriptedStore):
+    """Refuses a put since it reaches too few others, after its shards have moved to another store."""
+
+    async def call(self, request: PeerRequest, body: bytes, timeout_ms: float) -> CallResult:
+        view = View((1, 2), ["s1"] * SHARDS, ["b"] * SHARDS, [(1, 2)] * SHARDS)
+        view.live_stores, view.roster = self.edge.member.view.live_stores, ["s0", "s1"]
+        self.edge.member.view = view
+        self.edge.view_changed(view)
+        return await super().call(request, body, timeout_ms)
+
+
+def shows_a_refusal_of_the_previous_owner_keeps_nothing_from_the_present_one() -> None:
+    # 503, or a needless wait: the refusal was recorded for the owner in the view as it came.
+    async def scene(loop) -> tuple[int, float]:
+        moving, other = MovingStore({"no": "alone"}), ScriptedStore({"kept": True})
+        moving.edge = edge = make_edge({"s0": moving, "s1": other})
+        shard = next(at for at in range(SHARDS) if edge.member.view.owners[at] == "s0")
+        key = next(str(one) for one in range(999) if shard_of(str(one)) == shard).encode()
+        fields = [(b"attempt-id", b"id"), (b"deadline-ms", b"4000"), (b"order-key", key)]
+        answer = await send(edge, "/a/1", *fields)
+        return answer.status, loop.time() * 1000.0
+
+    status, waited_ms = simulated(scene)
+    assert status == 202 and waited_ms < SKIP_MS, (status, waited_ms)
+
+
 PENDING = {"state": {"phase": "pending"}}
 COMPLETE = {"state": {"phase": "complete", "seal": "s"}}
 NOTHING = {"state": None}
