Edges ask whether a store is complete before they ask it for a message

Cause (found by reading; seen at no caller): whether the disk of a store is complete, so that its not knowing a message counts, was read as its answer came. A store without its disk that answered, got the message and became complete in between counted, and with another such answer an accepted message was unknown (404).

Change: it counts if it was complete both as it was asked and as it answered.

--- a/sableford/edge/message_queries.py
+++ b/sableford/edge/message_queries.py
@@ -97,14 +97,18 @@
         link = self._links.responsive_link(name)
         if link is None:
             return None
+        was_complete = self._is_complete(name, link)
         response = (await link.call(StatusRequest(ref), b"", STORE_TIMEOUT_MS)).message
         if response is None or response.ref not in ("", ref):
             return None
-        return StoreResponse(response, self._is_complete(name, link))
+        return StoreResponse(response, was_complete and self._is_complete(name, link))
 
     def _is_complete(self, name: str, link: Link) -> bool:
         """Whether the peer still has everything that it ever acknowledged. Otherwise a message that it does
-        not know may still exist. A process that is not in the view yet may have lost its disk."""
+        not know may still exist. A process that is not in the view yet may have lost its disk.
+
+        Must hold both as the peer is asked and as it answers: one that becomes complete in between may have
+        got the message after it answered, and one that was complete may have been replaced."""
         store = self._member.view.live_stores.get(name)
         return store is not None and store.complete and store.incarnation == link.incarnation
 
@@ -120,12 +124,13 @@
                 link = self._links.responsive_link(name)
                 if link is None:
                     continue
+                was_complete = self._is_complete(name, link)
                 result = await link.call(BodyRequest(ref), b"", STORE_TIMEOUT_MS)
                 if result.message is None or result.message.ref not in ("", ref):
                     continue
                 if result.message.found:
                     return HttpResponse(200, result.body, content_type="application/octet-stream")
-                missing_count += self._is_complete(name, link)
+                missing_count += was_complete and self._is_complete(name, link)
             if missing_count >= max(1, sufficient, self._sufficient_count()):
                 return NO_MESSAGE
             await wait_for_event(changed, RETRY_MS)
--- a/tests/edge_queries.py
+++ b/tests/edge_queries.py
@@ -5,12 +5,13 @@
 
 from sableford.control.view import SHARDS, StoreInfo, View
 from sableford.edge.message_queries import MessageQueries
-from sableford.store.protocol import BodyRequest, BodyResponse, StatusResponse
+from sableford.store.protocol import BodyRequest, BodyResponse, MessageState, StatusResponse
 from sableford.transport.link import Response
 from sableford.transport.messages import PeerRequest
 
 STORES = ("a", "b", "c", "d")
 REF = "00-m"
+PENDING = MessageState("pending")
 
 
 def view(*stores: str) -> View:
@@ -52,12 +53,12 @@
         return SimpleNamespace(call=call, incarnation=name)
 
 
-def statuses(before: View, after: View) -> tuple[int, int]:
+def statuses(before: View, after: View, scene: type[QueryScene] = QueryScene) -> tuple[int, int]:
     """Returns the statuses of a query for the state and of one for the body."""
 
     async def query() -> tuple[int, int]:
-        state = await QueryScene(before, after).queries._get_state(REF)
-        body = await QueryScene(before, after).queries._get_body(REF)
+        state = await scene(before, after).queries._get_state(REF)
+        body = await scene(before, after).queries._get_body(REF)
         return state.status, body.status
 
     return asyncio.run(query())
@@ -71,3 +72,24 @@
 def shows_a_store_that_comes_back_while_others_are_asked_is_asked_before_a_message_is_unknown() -> None:
     # LOST (404): what suffices was counted without the store that came back with the message.
     assert statuses(before=view("a", "b", "d"), after=view(*STORES)) == (503, 503)
+
+
+class RestoredScene(QueryScene):
+    """As `d` has answered, it gets the message, and the view shows it as complete again."""
+
+    def link(self, name: str) -> SimpleNamespace | None:
+        if name != "d" or self.member.view is not self.after:
+            return super().link(name)
+
+        async def call(request: PeerRequest, body: bytes, timeout_ms: float) -> Response:
+            is_body = isinstance(request, BodyRequest)
+            return Response(BodyResponse(REF, True) if is_body else StatusResponse(PENDING, REF), b"x")
+
+        return SimpleNamespace(call=call, incarnation=name)
+
+
+def shows_a_store_that_was_incomplete_as_it_was_asked_does_not_make_a_message_unknown() -> None:
+    # LOST (404): whether its disk was complete was read as the answer came, when it had got the message.
+    before, after = view("a", "b", "d"), view("a", "b", "d")
+    before.live_stores["d"].complete = False
+    assert statuses(before, after, RestoredScene) == (200, 200)
