The guess for a new worker ends as a store leaves the view

If the others left the view before that, nobody was left to replace the guess, and the worker could count as full for good.

Change: the guess ends with the first report that counts, or as a store leaves the view; the stores that stay are asked in any case.

--- a/sableford/store/in_flight_reports.py
+++ b/sableford/store/in_flight_reports.py
@@ -43,7 +43,8 @@
 class ReportedCounts:
     """The reported deliveries in flight at one worker.
 
-    `total` is the sum of the reports that count. Before the first of them it is `assumed`.
+    `total` is the sum of the reports that count. Before the first of them it is `assumed`, as long as no
+    store that the assumption may rest on leaves the view.
     """
 
     __slots__ = ("_assumed", "_by_reporter", "total")
@@ -60,11 +61,12 @@
             self.total += count - previous - self._assumed
             self._assumed = 0
 
-    def apply(self, reporters: Reporters) -> None:
-        """Counts and keeps the reports that count and are kept from now on."""
+    def apply(self, reporters: Reporters, any_left: bool) -> None:
+        """Counts and keeps the reports that count and are kept from now on. `any_left`: since the reporters
+        before some are not live any more."""
         self._by_reporter = {one: count for one, count in self._by_reporter.items() if reporters.keeps(one)}
         counted = self.counted(reporters)
-        if counted:
+        if counted or any_left:
             self._assumed = 0
         self.total = self._assumed + sum(counted.values())
 
--- a/sableford/store/worker_selection.py
+++ b/sableford/store/worker_selection.py
@@ -174,9 +174,10 @@
 
     def apply_view(self, view: View) -> None:
         """Counts the deliveries of the stores in a view. Nobody waits for those of stores that are gone."""
-        self._reporters = Reporters.of_view(view)
+        before, self._reporters = self._reporters, Reporters.of_view(view)
+        any_left = not before.live <= self._reporters.live
         for worker in self.workers.values():
-            worker.reported.apply(self._reporters)
+            worker.reported.apply(self._reporters, any_left)
 
     def reported_counts(self, worker: Worker) -> dict[str, int]:
         """Returns how many deliveries each other store is counted with at a worker."""
--- a/tests/in_flight_reports.py
+++ b/tests/in_flight_reports.py
@@ -134,6 +134,18 @@
     assert queue.selector.choose(10.0, "a") is None
 
 
+def shows_a_guess_of_what_a_store_has_in_flight_ends_as_the_store_leaves_the_view() -> None:
+    # LOST: a new worker starts at the mean of the others, and nobody was left to report and replace that.
+    queue = queue_of_s0()
+    queue.apply_view(0.0, view(1, s0="b0", s1="b1"))
+    Peer(queue, "s1", "b1").reports(w=1)
+    queue.selector.put(1.0, WORKER._replace(id="w2"), 0.0)
+    queue.selector.remove("w")
+    assert not starts_delivery(accepts_message(queue))
+    queue.apply_view(10.0, view(2, s0="b0"))
+    assert starts_delivery(queue.tick(20.0, 0.0)) or queue.state.in_flight
+
+
 # In walks
 
 LONG_RUNS_MS, MESSAGES_PER_S = (500.0, 950.0), 8.0
