--- a/sableford/consensus/elections.py
+++ b/sableford/consensus/elections.py
@@ -131,7 +131,7 @@
         if self.is_leader:
             self._last_support_at = now
             effects.append(LogEvent("record_leads_no_more", {"term": self.term, "newer": term}))
-            effects += self._drop_pending_requests("another leads")
+            self._forget_pending_requests()
         if leader and leader != self.leader:
             effects.append(LogEvent("record_leader", {"leader": leader, "term": term}))
         self.is_leader, self.leader, self._votes = False, leader, {}
@@ -149,10 +149,10 @@
         self.is_leader, self.leader = False, ""
         self._election_due_at = now + ELECTION_TIMEOUT * 4.0
         event = LogEvent("record_leads_no_more", {"term": self.term, "why": "it resigns"})
-        return [event, *self._drop_pending_requests("the leader resigned")]
+        self._forget_pending_requests()
+        return [event]
 
-    def _drop_pending_requests(self, why: str) -> list[Effect]:
+    def _forget_pending_requests(self) -> None:
         """Forgets pending requests of a former leader: their senders retry with the next one."""
         self._pending_reads.clear()
         self._uncommitted_proposals.clear()
-        return []
--- a/sableford/consensus/raft_state.py
+++ b/sableford/consensus/raft_state.py
@@ -382,7 +382,7 @@
         if self.is_leader:
             self._last_support_at = now
             self.is_leader, self.leader = False, ""
-            effects += self._drop_pending_requests("the leader's disk failed")
+            self._forget_pending_requests()
         return effects
 
     def rewrite(self) -> list[Effect]:
--- a/sableford/consensus/replication.py
+++ b/sableford/consensus/replication.py
@@ -58,7 +58,8 @@
             self._last_support_at = now
             self.is_leader, self.leader = False, ""
             self._election_due_at = self._election_deadline(now)
-            return effects + self._drop_pending_requests("no majority is heard")
+            self._forget_pending_requests()
+            return effects
         if now < self._next_heartbeat_at:
             return []
         self._next_heartbeat_at = now + HEARTBEAT
--- a/sableford/rig/history.py
+++ b/sableford/rig/history.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 TOLERANCE_MS = 300.0  # allowance for delivery, writing the answer, and delays of a busy machine
-RUNS_ONCE, RUNS_IN_GROUP = "unsafe", "keyed"
+RUNS_ONCE = "unsafe"
 
 
 class Violation(NamedTuple):
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -29,6 +29,7 @@
     "memory_network",
     "runner",
     "soaking",
+    "store_scenes",
     "slow",
 }  # helpers, without test functions
 MODULES = [
--- a/tests/control_incidents.py
+++ b/tests/control_incidents.py
@@ -21,7 +21,6 @@
 from sableford.transport.http import HttpResponse
 
 CUT_S = 20.0
-HOPS = 3
 
 
 class Incident(ControlSimulation):
--- a/tests/earlier_incarnations.py
+++ b/tests/earlier_incarnations.py
@@ -20,7 +20,6 @@
     DeliveryResultRequest,
     PulledMessage,
     PullResponse,
-    PutRequest,
 )
 from sableford.store.queue import Queue
 from sableford.store.worker_selection import WorkerEntry, WorkerSelector
@@ -28,19 +27,8 @@
 from sableford.transport.verdict import Execution, Verdict
 from tests.calls import frame, link_of, sent_by
 from tests.memory_network import simulated
+from tests.store_scenes import PUT
 
-PUT = PutRequest(
-    ref="00-a",
-    shard=0,
-    key="",
-    id="a",
-    host="h",
-    target="/b",
-    method="POST",
-    delay_ms=0.0,
-    age_ms=0.0,
-    revision=1,
-)
 PULLED = PulledMessage(
     ref="00-a",
     shard=0,
--- a/tests/in_flight_reports.py
+++ b/tests/in_flight_reports.py
@@ -5,25 +5,14 @@
 from sableford.store.in_flight_reports import Reporters
 from sableford.store.messages import Deliver, Effect, LogEvent
 from sableford.store.peer_requests import PeerRequests
-from sableford.store.protocol import InFlightCounts, PutRequest
+from sableford.store.protocol import InFlightCounts
 from sableford.store.queue import Queue
 from sableford.store.stalled_backends import STALL_MS
 from sableford.store.worker_selection import WorkerEntry, WorkerSelector
 from sableford.transport.link import IncomingMessage
 from sableford.transport.routes import RoutingTable
+from tests.store_scenes import PUT
 
-PUT = PutRequest(
-    ref="00-a",
-    shard=0,
-    key="",
-    id="a",
-    host="h",
-    target="/b",
-    method="POST",
-    delay_ms=0.0,
-    age_ms=0.0,
-    revision=1,
-)
 WORKER = WorkerEntry("w", "a", "10.0.0.9", 80, "z0", 1, True)
 
 
--- a/tests/soaking/history.py
+++ b/tests/soaking/history.py
@@ -30,7 +30,6 @@
     responded_at: float = 0.0
     status: int = UNANSWERED
     ref: str = ""
-    malformed: str = ""  # why the response is invalid
 
     @property
     def accepted(self) -> bool:
--- a/tests/store_fences.py
+++ b/tests/store_fences.py
@@ -7,25 +7,14 @@
 from sableford.simulation.stores import DOC, RuleViolation, Simulation
 from sableford.store.delivery_results import CONFIRMATION_MS
 from sableford.store.messages import Deliver, DropReplica, Effect, LogEvent, Pull, State
-from sableford.store.protocol import MessageState, PullResponse, PutRequest
+from sableford.store.protocol import MessageState, PullResponse
 from sableford.store.queue import Queue
 from sableford.store.worker_selection import WorkerEntry, WorkerSelector
 from sableford.transport.routes import RoutingTable
 from sableford.transport.verdict import Execution, Verdict
 from tests.store_losses import first_fault
+from tests.store_scenes import PUT
 
-PUT = PutRequest(
-    ref="00-a",
-    shard=0,
-    key="",
-    id="a",
-    host="h",
-    target="/b",
-    method="POST",
-    delay_ms=0.0,
-    age_ms=0.0,
-    revision=1,
-)
 KNOWS = PullResponse(True, ["00-a"], [], {})
 
 
--- a/tests/system_simulation.py
+++ b/tests/system_simulation.py
@@ -42,7 +42,7 @@
 from sableford.store.in_flight_reports import StoreIncarnation
 from sableford.store.message_replication import MessageReplication
 from sableford.store.messages import CopyMessage, Deliver, RespondToPut, WriteMessage
-from sableford.store.protocol import ISOLATED, PutRequest, PutResponse
+from sableford.store.protocol import ISOLATED, PutResponse
 from sableford.store.queue import Queue, QueueParts
 from sableford.store.queue_state import QueueState
 from sableford.store.replica_placement import ReplicaPlacement
@@ -55,6 +55,7 @@
 from sableford.transport.link import Response as PeerReply
 from sableford.transport.routes import RoutingTable
 from sableford.transport.verdict import Execution, Verdict
+from tests import store_scenes
 from tests.control_member import STATUS
 from tests.order import SendsOutOfTurn, with_parts
 
@@ -162,18 +163,7 @@
     assert selector.choose(30.0, "b").entry.id == "w1"
 
 
-PUT = PutRequest(
-    ref="00-a",
-    shard=0,
-    key="",
-    id="a",
-    host="h",
-    target="/a",
-    method="POST",
-    delay_ms=0.0,
-    age_ms=0.0,
-    revision=1,
-)
+PUT = replace(store_scenes.PUT, target="/a")
 
 
 def shows_a_store_connected_to_too_few_others_accepts_nothing_new() -> None:
